--- /dev/null
+++ b/cmd/drill/terms.go
@@ -0,0 +1,112 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+
+	"fawnplank/policy"
+)
+
+// object is a JSON object of the settings; path names it in messages.
+type object struct {
+	path string
+	m    map[string]any
+	err  *error // the first fault met sticks
+}
+
+func (o object) fault(key, what string) {
+	if *o.err == nil {
+		*o.err = fmt.Errorf("settings: %s%s %s", o.path, key, what)
+	}
+}
+
+// get finds a value of the wanted type; one that must be there and is not is a fault.
+func get[T any](o object, key string, must bool) T {
+	x, there := o.m[key]
+	v, ok := x.(T)
+	if !ok && (there && x != nil || must) {
+		if there {
+			o.fault(key, "is of the wrong type")
+		} else {
+			o.fault(key, "is missing")
+		}
+	}
+	return v
+}
+
+func (o object) need(key string) float64 { return get[float64](o, key, true) }
+func (o object) num(key string) float64  { return get[float64](o, key, false) }
+func (o object) yes(key string) bool     { return get[bool](o, key, false) }
+func (o object) text(key string) string  { return get[string](o, key, false) }
+func (o object) in(key string, must bool) object {
+	return object{o.path + key + ".", get[map[string]any](o, key, must), o.err}
+}
+
+func (o object) rows(key string) []object {
+	var rows []object
+	for n, x := range get[[]any](o, key, true) {
+		path := fmt.Sprintf("%s%s[%d]", o.path, key, n)
+		m, ok := x.(map[string]any)
+		if !ok {
+			o.fault(fmt.Sprintf("%s[%d]", key, n), "is no object")
+		}
+		rows = append(rows, object{path + ".", m, o.err})
+	}
+	return rows
+}
+
+// word translates one of a set of words.
+func word[T any](o object, key string, words map[string]T) T {
+	v, ok := words[o.text(key)]
+	if !ok {
+		o.fault(key, fmt.Sprintf("is %q, which has no meaning", o.text(key)))
+	}
+	return v
+}
+
+// count gives a whole number that fits.
+func count(x float64) int { return int(math.Round(min(max(x, 0), 1e9))) }
+
+// readTerms turns the settings into the terms of a front door.
+func readTerms(text []byte) (policy.Terms, error) {
+	var fault error
+	top := object{"", nil, &fault}
+	if err := json.Unmarshal(text, &top.m); err != nil {
+		return policy.Terms{}, fmt.Errorf("settings: no JSON object: %w", err)
+	}
+	family, allowed, rules := top.in("family-info", false), top.in("permissions", true), top.in("invariants", true)
+	terms := policy.Terms{
+		Me: count(top.need("me")), Doors: count(top.need("replicas-of-me")), Zone: policy.ZoneID(count(top.num("my-zone"))),
+		MostShots: count(allowed.need("send-cap")), SecondCopies: allowed.yes("second-copies"),
+		Recalls: allowed.yes("cancelling"), Probes: allowed.yes("probes"), Advice: allowed.yes("retry-after"),
+		LongestAdvice: ns(allowed.num("max-retry-after-ms")),
+		Counter:       family.yes("may-count"), CounterTimeout: ns(family.num("counter-timeout-ms")),
+		PostPaid: family.yes("post-paid"), ListOnRequest: top.text("discovery") == "on_request",
+		AskWithin: ns(rules.num("ask-within-ms")), ColdShare: rules.need("cold-share"), WarmUp: ns(rules.need("warm-up-ms")),
+		FallMultiple: rules.need("tip-multiple"), FallSpan: ns(rules.need("fall-ms")),
+		CrossZonePrice: top.in("prices", false).num("cross-zone"), QueueColumn: -1,
+	}
+	for n, x := range get[[]any](top.in("telemetry", false), "columns", false) {
+		if x == "queue" {
+			terms.QueueColumn = n
+		}
+	}
+	for _, l := range top.rows("lanes") {
+		p := policy.ProfileTerms{Promised: ns(l.need("goal-time-ms")), HardLimit: ns(l.need("deadline-ms")),
+			LateUtility: l.num("late-worth"), Memory: ns(l.num("window-ms"))}
+		p.Effect = word(l, "effect", map[string]policy.Effect{"read_like": policy.Reissuable,
+			"idempotency_key": policy.Numbered, "non_idempotent": policy.AtMostOnce})
+		if p.Effect == policy.Numbered {
+			p.Reach = word(l, "group", map[string]policy.Reach{"all": policy.ReachAll, "zone": policy.ReachZone,
+				"cell": policy.ReachGroup})
+		}
+		terms.Profiles = append(terms.Profiles, p)
+	}
+	for _, p := range top.rows("tariffs") {
+		terms.Plans = append(terms.Plans, policy.PlanTerms{Rate: p.need("quota-rate"), Burst: p.need("peak-units"),
+			Parallel: count(p.num("parallel")), CeilingRate: p.num("cap-rate"), CeilingBurst: p.num("ceiling-burst"),
+			BeyondEarns: p.num("beyond-earns"), BeyondCosts: p.num("beyond-costs")})
+	}
+	return terms, fault
+}
--- /dev/null
+++ b/policy/api.go
@@ -0,0 +1,154 @@
+// Package policy decides, for one front door, what becomes of each transaction. This file holds the words that
+// the decisions and their caller share; the decisions are in policy.go.
+package policy
+
+// Each kind of id is a type of its own. Ids say nothing beyond being equal or not.
+type (
+	TransactionID uint64
+	BackendID     uint32
+	CustomerID    uint64
+	CountID       uint64 // the name of a number on the counter
+	ProfileID     uint16 // index into Terms.Profiles
+	PlanID        uint32 // index into Terms.Plans
+	ZoneID        uint16
+	KindID        uint8
+	GroupID       uint16
+	DoorID        uint32 // a front door's number among its fellows
+	ShotID        uint8  // a transaction's shots are numbered from 0 in the order they were sent
+)
+
+// Outcome is how a shot, a probe or a count ended.
+type Outcome uint8
+
+const (
+	Fulfilled Outcome = iota
+	Errored           // answered with an error; may have run
+	Rejected          // turned away unseen; did not run
+	TimedOut          // no answer in time; may have run
+	Unreached         // no connection; did not run
+	CutOff            // the connection broke; may have run
+	Recalled          // called off; may have run
+	Moot              // never sent
+)
+
+// Effect is what running a transaction twice does.
+type Effect uint8
+
+const (
+	Reissuable Effect = iota // may run again
+	Numbered                 // repeats are known by its mark, within its group and memory
+	AtMostOnce               // must never run twice
+)
+
+// Reach is which backends know a numbered transaction's repeats.
+type Reach uint8
+
+const (
+	ReachAll Reach = iota
+	ReachZone
+	ReachGroup
+)
+
+// Stage is where a backend is in its life.
+type Stage uint8
+
+const (
+	Draining Stage = iota
+	Ready
+	Gone
+)
+
+// Listing is how a list of backends came.
+type Listing uint8
+
+const (
+	Changes Listing = iota
+	Whole
+	Cached
+	ListFailed
+)
+
+// Silence is what a profile does while the counter gives no answer.
+type Silence uint8
+
+const (
+	KeepShare  Silence = iota // the front door's share of the quota
+	LetAll                    // preset open
+	DismissAll                // preset closed
+)
+
+// Listed is one line of the list of backends.
+type Listed struct {
+	Backend BackendID
+	Zone    ZoneID
+	Kind    KindID
+	Group   GroupID
+	Stage   Stage
+	Size    float64
+	Started int64 // 0: long ago
+}
+
+// ProfileTerms are what is promised for a kind of transaction. Times are nanoseconds here and everywhere.
+type ProfileTerms struct {
+	Effect      Effect
+	Reach       Reach
+	Memory      int64 // how long repeats of a numbered transaction are known, from its first shot
+	Promised    int64
+	HardLimit   int64
+	LateUtility float64 // share of the utility an answer after the promised time keeps
+	Utility     float64
+	Stream      bool
+	Silence     Silence // preset; the simulator's wire names none, so its doors keep their share
+}
+
+// PlanTerms are a plan's quotas, each for one customer over all front doors.
+type PlanTerms struct {
+	Rate, Burst               float64 // units a second, units; rate 0: no such quota
+	Parallel                  int     // shots out at once; 0: no such quota
+	CeilingRate, CeilingBurst float64 // rate 0: no ceiling
+	UtilityFactor             float64
+	BeyondEarns, BeyondCosts  float64 // shares of the utility, for what is sent on beyond the quota
+}
+
+// Terms are what a front door is told at its start.
+type Terms struct {
+	Me, Doors      int
+	Zone           ZoneID
+	Profiles       []ProfileTerms
+	Plans          []PlanTerms
+	MostShots      int
+	SecondCopies   bool
+	Recalls        bool
+	Probes         bool
+	Advice         bool
+	LongestAdvice  int64
+	Counter        bool
+	CounterTimeout int64
+	PostPaid       bool
+	ListOnRequest  bool
+	AskWithin      int64
+	ColdShare      float64
+	WarmUp         int64
+	FallMultiple   float64
+	FallSpan       int64
+	CrossZonePrice float64
+	QueueColumn    int // place of the waiting transactions in a load report; -1: not reported
+}
+
+// Door is what the decisions can do. Every call takes effect at once; none calls back.
+type Door interface {
+	// Shoot sends a shot; it ends as TimedOut at the time expire (0: when the client gives up).
+	Shoot(t TransactionID, b BackendID, expire int64)
+	Recall(t TransactionID, s ShotID)
+	// Dismiss tells the client that trying again is harmless, after comeBack if that is above 0.
+	Dismiss(t TransactionID, comeBack int64)
+	BreakOff(t TransactionID)
+	// Wake asks for a call of Gate.Wake with the same mark at the time at or soon after.
+	Wake(at int64, mark uint64)
+	// Count adds units to a number that all front doors share; Gate.Counted brings the answer.
+	Count(c CountID, units float64, lifetime int64)
+	Probe(b BackendID)
+	// Follow asks for the list of backends and its changes, where they do not come unasked.
+	Follow()
+	Note(text string)
+}
