--- a/policy/policy.go
+++ b/policy/policy.go
@@ -25,11 +25,8 @@
 	slop = 0.01
 )
 
-// Marks of the two timers: the periodic one, and the one for the earliest due time.
-const (
-	markTick = iota
-	markDue
-)
+// markTick marks the periodic timer; the one for the earliest due time is marked by its number, from 1.
+const markTick = 0
 
 // profile is a row of the table of profiles.
 type profile struct {
@@ -54,13 +51,15 @@
 	chance    *pcg.Source
 	born      int64
 	due       due.Queue[func(now int64)]
-	woken     int64 // the time of the earliest wake asked for; 0: none
+	woken     int64  // the time of the earliest wake asked for; 0: none
+	wakes     uint64 // its number
 	backends  map[BackendID]*backend
 	ranked    []*backend
-	counts    map[CountID]*count
+	calls     map[CountID][]*call // unanswered, in the order they were made
 	customers map[CustomerID]*customer
 	held      []*Transaction // let in, waiting for room at a backend
 	pace      float64        // answers a second
+	usual     float64        // answer time of the backends together; 0: unknown
 	answers   int            // since the last tick
 	fails     int            // counter calls failed in a row
 	resume    int64          // when a tripped breaker lets a trial call pass
@@ -68,28 +67,32 @@
 	askAgain  int64          // wait before the list is asked for again
 }
 
-// customer is what a customer uses of the limits that the front door holds by itself.
+// customer is what this door knows of a customer: of its quota, and of the limits that the door holds by itself.
+// The count of a window is reckoned against what the rate has refilled since the window's start: the customer has
+// used total - refilled of its burst.
 type customer struct {
-	out     int // shots out
+	id      CustomerID
+	plan    *plan
+	start   int64 // of the window
+	name    CountID
+	known   float64 // the window's total as last heard
+	righted float64 // what was put right on the counter's numbers, all told
+	owed    float64 // units to be told with the next call: let in without the counter, or counted and not sent
+	spent   float64 // units let in here that the door's share has not refilled yet
+	at      int64   // when spent was last reckoned
+	out     int     // shots out
 	ceiling float64
 	filled  int64 // when the ceiling's store was last reckoned
 }
 
-// count is a customer's use in one window. The front door lets in let units and means to have told the counter
-// just that, plus what it asks for right now; told and lost say what it did tell and what of that got lost.
-type count struct {
-	name       CountID
-	plan       *plan
-	ends       int64
-	let, asked float64
-	told, lost float64
-	known      float64 // use by all front doors as last heard, less what was dismissed
-	calls      []call  // unanswered, in the order they were made
-}
-
+// call is one unanswered call to the counter.
 type call struct {
-	t            *Transaction // nil once decided without the answer
-	amount, told float64
+	c             *customer
+	t             *Transaction // nil: asked for no transaction, or decided without the answer
+	start         int64        // of the window that the count belongs to
+	amount, units float64
+	righted       float64 // the customer's, when the call was made
+	in            bool    // let in
 }
 
 type shot struct {
@@ -107,7 +110,6 @@
 	profile         *profile
 	plan            *plan
 	customer        *customer
-	count           *count
 	units, entries  float64
 	place           int // this door's place among the customer's entry points
 	promised, limit int64
@@ -121,7 +123,7 @@
 // New starts the decisions of a front door.
 func New(now int64, seed uint64, terms Terms, door Door) *Gate {
 	g := &Gate{door: door, terms: terms, chance: pcg.New(seed), born: now, backends: map[BackendID]*backend{},
-		counts: map[CountID]*count{}, customers: map[CustomerID]*customer{}, askAgain: 500 * ms}
+		calls: map[CountID][]*call{}, customers: map[CustomerID]*customer{}, askAgain: 500 * ms}
 	for _, p := range terms.Profiles {
 		// A twentieth of the promised time: the post's 45 of 300 ms is dear where the calls wait in line. Four
 		// fifths of the counter's own limit keep the wait below it.
@@ -149,19 +151,24 @@
 func (g *Gate) at(when int64, what func(now int64)) {
 	g.due.Add(when, what)
 	if g.woken == 0 || when < g.woken {
-		g.woken = when
-		g.door.Wake(when, markDue)
+		g.wakeAt(when)
 	}
 }
 
+func (g *Gate) wakeAt(when int64) {
+	g.woken = when
+	g.wakes++
+	g.door.Wake(when, g.wakes)
+}
+
 // Wake does what has fallen due.
 func (g *Gate) Wake(now int64, mark uint64) {
 	if mark == markTick {
 		g.tick(now)
 		return
 	}
-	if g.woken == 0 || now < g.woken {
-		return
+	if mark != g.wakes {
+		return // an earlier one has been asked for since
 	}
 	for {
 		what, ok := g.due.Take(now)
@@ -171,9 +178,9 @@
 		what(now)
 	}
 	g.woken = 0
+	// A clock coarser than ours may wake a little early: then this asks again for the same time.
 	if next, ok := g.due.Next(); ok {
-		g.woken = next
-		g.door.Wake(next, markDue)
+		g.wakeAt(max(next, now+1))
 	}
 }
 
@@ -198,7 +205,8 @@
 		g.door.BreakOff(id)
 		return t
 	}
-	t.profile, t.plan, t.customer = &g.profiles[pr], &g.plans[pl], g.customer(now, c)
+	t.profile, t.plan = &g.profiles[pr], &g.plans[pl]
+	t.customer = g.customer(now, c, t.plan)
 	t.limit = now + max(left, 0)
 	t.promised = min(now+t.profile.Promised, t.limit)
 	t.place = ((g.terms.Me-first)%max(g.terms.Doors, 1) + max(g.terms.Doors, 1)) % max(g.terms.Doors, 1)
@@ -209,12 +217,9 @@
 		}
 		t.customer.ceiling -= t.units
 	}
-	if t.plan.Rate > 0 {
-		t.count = g.countOf(now, c, t.plan)
-	}
 	if t.plan.Parallel > 0 && t.customer.out >= max(t.plan.Parallel/int(t.entries), 1) {
-		t.beyond(now, t.profile.Promised)
-	} else if t.count == nil {
+		t.beyond(now)
+	} else if t.plan.Rate <= 0 {
 		t.letIn(now, true)
 	} else {
 		t.ask(now)
@@ -222,29 +227,30 @@
 	return t
 }
 
-func (g *Gate) customer(now int64, id CustomerID) *customer {
+func (g *Gate) customer(now int64, id CustomerID, p *plan) *customer {
 	c := g.customers[id]
 	if c == nil {
-		c = &customer{filled: g.born}
+		c = &customer{id: id, plan: p, filled: g.born, at: now}
 		g.customers[id] = c
-		g.forget(now, id, c)
+		g.forget(now, c)
 	}
+	c.plan = p
+	c.turn(now)
 	return c
 }
 
-// forget drops a customer's entry once nothing of it is out and its ceiling's store would be full anyway.
-func (g *Gate) forget(now int64, id CustomerID, c *customer) {
-	rest := 10 * sec // how often to look, far above a plan's usual window
-	for _, p := range g.plans {
-		if p.CeilingRate > 0 {
-			rest = max(rest, int64(min(p.CeilingBurst/p.CeilingRate, 3600)*float64(sec)))
-		}
+// forget drops a customer's entry once it has passed two windows unused, nothing of it is out, and its ceiling's
+// store would be full anyway.
+func (g *Gate) forget(now int64, c *customer) {
+	rest := max(2*c.plan.window, 10*sec) // ten seconds: seldom enough for plans of tiny windows
+	if c.plan.CeilingRate > 0 {
+		rest = max(rest, int64(min(c.plan.CeilingBurst/c.plan.CeilingRate, 3600)*float64(sec)))
 	}
 	g.at(now+rest, func(now int64) {
-		if c.out == 0 && now-c.filled >= rest {
-			delete(g.customers, id)
+		if c.out == 0 && now-max(c.at, c.filled) >= rest {
+			delete(g.customers, c.id)
 		} else {
-			g.forget(now, id, c)
+			g.forget(now, c)
 		}
 	})
 }
@@ -265,51 +271,61 @@
 	return x ^ x>>31
 }
 
-// countOf finds the customer's entry for the window of now. Windows start at a time of the customer's own, so
-// that clients who were told to come back do not all come at once.
-func (g *Gate) countOf(now int64, id CustomerID, p *plan) *count {
-	own := mix(uint64(id) + 0x9e3779b97f4a7c15)
-	shifted := now + int64(own%uint64(p.window))
-	index := shifted / p.window
-	name := CountID(mix(own + uint64(index)))
-	c := g.counts[name]
-	if c == nil {
-		c = &count{name: name, plan: p, ends: now + p.window - shifted%p.window}
-		g.counts[name] = c
-		g.at(c.ends+sec, func(int64) { delete(g.counts, name) }) // a second: longer than any call is out
+// turn goes on to the window of now. Windows start at a time of the customer's own, so that clients who were told
+// to come back do not all come at once. What the last window used beyond its refill is carried over: else a turn
+// would grant a fresh burst.
+func (c *customer) turn(now int64) {
+	w := c.plan.window
+	if w == 0 || c.name != 0 && now < c.start+w {
+		return
 	}
-	return c
+	own := mix(uint64(c.id) + 0x9e3779b97f4a7c15)
+	shifted := now + int64(own%uint64(w))
+	start := now - shifted%w
+	c.known = max(c.known-c.plan.Rate*float64(start-c.start)/float64(sec), 0)
+	c.righted = 0
+	c.start, c.name = start, CountID(mix(own+uint64(shifted/w)))
+}
+
+// refilled is what the rate has given since the window's start.
+func (c *customer) refilled(now, start int64) float64 {
+	return c.plan.Rate * float64(now-start) / float64(sec)
 }
 
 // ask counts the transaction, if the breaker lets it call, and goes by the door's share if not.
 func (t *Transaction) ask(now int64) {
-	g, c := t.gate, t.count
-	t.asking = true
-	c.asked += t.units
+	g, c := t.gate, t.customer
+	if c.known+t.units > c.plan.quota+c.refilled(now, c.start)+slop {
+		t.beyond(now) // spent as far as is known: no call can say otherwise
+		return
+	}
 	if !g.mayCall(now) {
-		t.decide(now, t.share())
+		t.decide(now, t.share(now), nil)
 		return
 	}
-	// What is missing on the counter goes along: units that were let in without it, units that it lost when it
-	// came back empty; and units that were counted and then dismissed come off.
-	amount := c.let + c.asked - (c.told - c.lost)
-	c.told += amount
-	c.calls = append(c.calls, call{t, amount, c.told})
-	g.door.Count(c.name, amount, min(c.ends-now+sec, 60*sec))
+	t.asking = true
+	k := g.count(now, c, t, t.units+c.owed)
+	c.owed = 0
 	g.at(now+min(t.profile.wait, (t.limit-now)/2), func(now int64) {
-		if !t.asking {
-			return
+		if t.asking && k.t == t {
+			k.t = nil
+			g.called(now, false)
+			t.decide(now, t.share(now), k)
 		}
-		for i := range c.calls {
-			if c.calls[i].t == t {
-				c.calls[i].t = nil
-			}
-		}
-		g.called(now, false)
-		t.decide(now, t.share())
 	})
 }
 
+// count calls the counter.
+func (g *Gate) count(now int64, c *customer, t *Transaction, amount float64) *call {
+	k := &call{c: c, t: t, start: c.start, amount: amount, righted: c.righted}
+	if t != nil {
+		k.units = t.units
+	}
+	g.calls[c.name] = append(g.calls[c.name], k)
+	g.door.Count(c.name, amount, min(c.start+2*c.plan.window-now+sec, 60*sec))
+	return k
+}
+
 // breakAt is the post's threshold: five failures in a row are no chance.
 const breakAt = 5
 
@@ -341,86 +357,136 @@
 
 // Counted brings the answer to the oldest unanswered call for the count.
 func (g *Gate) Counted(now int64, o Outcome, name CountID, total float64) {
-	c := g.counts[name]
-	if c == nil || len(c.calls) == 0 {
+	if len(g.calls[name]) == 0 {
 		return
 	}
-	k := c.calls[0]
-	c.calls = c.calls[1:]
-	switch {
-	case o == Fulfilled:
-		// Guards against a counter that came back empty, and against calls that timed out and were not added:
-		// what this door told it must be there. Hurts if another door takes off more than it added.
-		if lack := k.told - c.lost - total; lack > slop {
-			c.lost += lack
-			total += lack
-		}
-		c.known = total
-	case o == Rejected || o == Unreached:
-		c.lost += k.amount
-	}
-	if k.t == nil || !k.t.asking {
+	k := g.calls[name][0]
+	g.calls[name] = g.calls[name][1:]
+	if len(g.calls[name]) == 0 {
+		delete(g.calls, name)
+	}
+	c, t := k.c, k.t
+	waits := t != nil && t.asking
+	if waits {
+		g.called(now, o == Fulfilled)
+	}
+	if o != Fulfilled {
+		if waits {
+			k.t = nil
+			t.decide(now, t.share(now), k)
+		}
+		if o == TimedOut && g.fails < breakAt {
+			// It was likely added late, by a slow counter that was not given up.
+			if !k.in {
+				c.owed -= k.units
+			}
+			return
+		}
+		c.owed += k.amount
+		if !k.in {
+			c.owed -= k.units
+		}
 		return
 	}
-	g.called(now, o == Fulfilled)
-	if o == Fulfilled {
-		k.t.decide(now, total <= c.plan.quota+slop)
-	} else {
-		k.t.decide(now, k.t.share())
+	// The total lacks what the burst cannot hold of the refill, and what a counter lost that came back empty:
+	// the first door to see it puts it right. Hurts when two see it at once: then a little too much is counted.
+	total += c.righted - k.righted // what was put right since the call went out
+	before, refilled := total-k.amount, c.refilled(now, k.start)
+	var right float64
+	asks := k.units > 0 // the others put right; what they add is not missing
+	if lack := refilled - before; asks && lack > 0 {
+		total += lack
+		if lack > c.plan.quota/8 { // an eighth: a call for each small step would crowd the counter
+			right += lack
+		}
+	}
+	if lost := c.known - before; asks && k.start == c.start && before < c.known/2 && lost > c.plan.quota/2 {
+		lost = c.known + k.amount - total
+		total += lost
+		right += lost
+	}
+	if waits {
+		k.t = nil
+		t.decide(now, total <= c.plan.quota+refilled+slop, k)
+	}
+	if !k.in {
+		right -= k.units
+		total -= k.units
+	}
+	if k.start != c.start {
+		return
+	}
+	c.known = total
+	if math.Abs(right) > slop {
+		c.righted += right
+		g.count(now, c, nil, right)
 	}
 }
 
 // share decides without the counter: by the profile's preset, or by the door's share of the quota.
-func (t *Transaction) share() bool {
-	c := t.count
+func (t *Transaction) share(now int64) bool {
+	c, quota := t.customer, t.plan.quota
 	switch t.profile.Silence {
 	case LetAll:
 		return true
 	case DismissAll:
 		return false
 	}
-	if c.known+t.units > c.plan.quota+slop {
-		return false
-	}
-	share := c.plan.quota / t.entries
-	if share < t.units && c.let == 0 {
+	c.drain(now, t.entries)
+	share := quota / t.entries
+	if share < t.units && c.spent == 0 {
 		// The floor of one transaction a door adds up past small quotas: so many doors as the quota has room for
 		// hold it, and the window's name says which.
 		turn := (t.place + int(uint64(c.name)%1024)) % int(t.entries)
-		return float64(turn+1)*t.units <= c.plan.quota+slop
+		return float64(turn+1)*t.units <= quota+slop
 	}
-	return c.let+t.units <= share+slop
+	return c.spent+t.units <= share+slop
+}
+
+// drain reckons what the door's share of the rate has refilled.
+func (c *customer) drain(now int64, entries float64) {
+	c.spent, c.at = max(c.spent-c.refilled(now, c.at)/entries, 0), now
 }
 
-// decide ends the wait for the counter.
-func (t *Transaction) decide(now int64, in bool) {
+// decide ends the wait for the counter; k is the call that was made, if any.
+func (t *Transaction) decide(now int64, in bool, k *call) {
 	t.asking = false
-	t.count.asked -= t.units
-	if in {
-		t.letIn(now, true)
+	if !in {
+		t.beyond(now)
 		return
 	}
-	t.count.known = max(t.count.known-t.units, 0)
-	t.beyond(now, t.count.ends-now)
+	if k != nil {
+		k.in = true
+	} else {
+		t.customer.owed += t.units
+	}
+	t.letIn(now, true)
 }
 
-// beyond dismisses what is beyond the quota, until the quota's next turn. The exception: where a plan's
+// beyond dismisses what is beyond the quota, until it has refilled enough. The exception: where a plan's
 // transactions earn more beyond the quota than they cost, and a backend has room for one, it is let in.
-func (t *Transaction) beyond(now, turn int64) {
+func (t *Transaction) beyond(now int64) {
+	c := t.customer
+	again := t.profile.Promised
+	if t.plan.Rate > 0 {
+		lacks := c.known + t.units - t.plan.quota - c.refilled(now, c.start)
+		again = int64(max(lacks, t.units/2) / t.plan.Rate * float64(sec))
+	}
 	if t.plan.BeyondEarns > t.plan.BeyondCosts && len(t.gate.held) == 0 {
 		if b := t.gate.pick(now, t); b != nil && b.load() <= 1 {
 			t.letIn(now, false)
 			return
 		}
 	}
-	t.end(now, turn)
+	t.end(now, again)
 }
 
 // letIn sends a transaction on its way.
 func (t *Transaction) letIn(now int64, inside bool) {
 	t.let, t.inside = true, inside
-	if inside && t.count != nil {
-		t.count.let += t.units
+	if inside && t.plan.Rate > 0 {
+		t.customer.drain(now, t.entries)
+		t.customer.spent += t.units
 	}
 	t.send(now)
 }
@@ -576,8 +642,9 @@
 	t.customer.out--
 	g.answers++
 	s.to.settled(g, now, s, o, elapsed, queue)
-	if o == Fulfilled && g.terms.PostPaid && trueUnits > 0 && t.inside && t.count != nil {
-		t.count.let += trueUnits - t.units // goes along with the window's next call
+	if o == Fulfilled && g.terms.PostPaid && trueUnits > 0 && t.inside {
+		t.customer.owed += trueUnits - t.units // goes along with the next call
+		t.customer.spent += trueUnits - t.units
 	}
 	switch {
 	case t.over:
@@ -625,13 +692,11 @@
 // finish marks a transaction as answered and gives back what it did not use.
 func (t *Transaction) finish() {
 	t.over, t.waiting = true, false
-	if t.asking {
-		t.asking = false
-		t.count.asked -= t.units
-	}
+	t.asking = false
 	if len(t.shots) == 0 && t.let {
-		if t.inside && t.count != nil {
-			t.count.let -= t.units
+		if t.inside {
+			t.customer.owed -= t.units
+			t.customer.spent -= t.units
 		}
 		if t.plan.CeilingRate > 0 {
 			t.customer.ceiling += t.units
@@ -653,8 +718,8 @@
 	started     int64
 	ready       bool
 	out         int
-	limit       float64 // shots out at which it still answers about as fast as idle
-	late, quick float64 // smoothed answer time, and that of its quiet moments; 0: unknown
+	limit       float64 // shots out up to which it is filled in its turn
+	late, level float64 // smoothed answer time, 0: unknown; and shots out while it was measured
 	heard       int64   // when it last answered
 	rest        int64   // no shots before
 	strikes     int     // symptoms of illness since the last good answer
@@ -679,11 +744,11 @@
 	for _, l := range list {
 		b := g.backends[l.Backend]
 		if b == nil {
-			b = &backend{id: l.Backend, tie: g.chance.Uint64(), limit: 2}
+			b = &backend{id: l.Backend, tie: g.chance.Uint64(), limit: 1, level: 1}
 			g.backends[l.Backend] = b
 		}
 		if l.Started != b.started && l.Stage == Ready {
-			b.limit, b.strikes, b.errors, b.rest = 2, 0, 0, 0
+			b.limit, b.level, b.late, b.strikes, b.errors, b.rest = 1, 1, 0, 0, 0, 0
 		}
 		b.zone, b.group, b.size, b.started, b.ready = l.Zone, l.Group, l.Size, l.Started, l.Stage == Ready
 	}
@@ -693,18 +758,32 @@
 
 // rank renews the order of the backends: the quicker first, by steps of about 40%, since finer differences are
 // chance; then those of the own zone where crossing has a price; then in an order of this door's own, so that
-// the doors do not crowd the same ones.
+// the doors do not crowd the same ones. The limits follow the answer times against the usual one: a backend
+// that is slow, for whatever reason, is filled less, and drifts back to the usual while it is not heard.
 func (g *Gate) rank() {
 	g.ranked = g.ranked[:0]
-	key := map[*backend]float64{}
+	var sum, n float64
 	for _, b := range g.backends {
-		if !b.ready {
-			continue
+		if b.ready {
+			g.ranked = append(g.ranked, b)
 		}
-		g.ranked = append(g.ranked, b)
-		key[b] = math.Round(2 * math.Log2(max(b.quick, float64(ms))))
-		if b.quick == 0 {
-			key[b] = 0
+	}
+	sort.Slice(g.ranked, func(i, j int) bool { return g.ranked[i].id < g.ranked[j].id })
+	for _, b := range g.ranked {
+		if b.late > 0 {
+			sum, n = sum+1/b.late, n+1
+		}
+	}
+	g.usual = 0
+	if n > 0 {
+		g.usual = n / sum // the harmonic mean: a few stalled backends hardly move it
+	}
+	key := map[*backend]float64{}
+	for _, b := range g.ranked {
+		if b.late > 0 {
+			b.late += 0.01 * (g.usual - b.late) // forgets in ten seconds
+			b.limit = min(max(g.usual/b.late, 0.25), 2)
+			key[b] = math.Round(2 * math.Log2(b.late/g.usual))
 		}
 		if g.terms.CrossZonePrice > 0 && b.zone != g.terms.Zone {
 			key[b] += 0.5
@@ -740,7 +819,7 @@
 		if load <= 1 {
 			return b
 		}
-		if load < least && max(load, 1)*b.late < float64(t.promised-now)/2 {
+		if load < least && b.late*float64(b.out+1)/b.level < float64(t.promised-now)/2 {
 			best, least = b, load
 		}
 	}
@@ -749,12 +828,12 @@
 
 // settled learns from how a shot ended.
 func (b *backend) settled(g *Gate, now int64, s *shot, o Outcome, elapsed int64, queue float64) {
-	full := b.load() > 1
+	level := float64(b.out)
 	b.out--
 	switch o {
 	case Fulfilled:
 		b.heard, b.strikes, b.errors = now, 0, 0
-		b.measure(float64(elapsed), full, queue)
+		b.measure(float64(elapsed), level)
 	case Errored:
 		b.heard = now
 		b.errors++
@@ -763,7 +842,6 @@
 		}
 	case Rejected:
 		b.heard = now
-		b.limit = max(b.limit*0.7, 1)
 		b.rest = max(b.rest, now+50*ms) // about what a full line takes to move on
 	case Unreached, CutOff:
 		if now >= b.rest {
@@ -771,35 +849,23 @@
 		}
 	case TimedOut, Recalled:
 		if float64(elapsed) > b.late {
-			b.measure(float64(elapsed), full, queue)
+			b.measure(float64(elapsed), level)
 		}
 	}
 }
 
-// measure learns the answer time and from it the limit: it grows while a full backend stays near its quick
-// moments and shrinks when it slows to three times them.
-func (b *backend) measure(took float64, full bool, queue float64) {
+// measure smooths the answer time over about ten answers.
+func (b *backend) measure(took, level float64) {
 	if b.late == 0 {
-		b.late, b.quick = took, took
+		b.late, b.level = took, level
 	}
 	b.late += 0.1 * (took - b.late)
-	if b.late < b.quick {
-		b.quick = b.late
-	} else {
-		b.quick += 0.005 * (b.late - b.quick)
-	}
-	switch {
-	case b.late > 3*b.quick || queue > 1:
-		b.limit = max(b.limit-0.3/b.limit, 1)
-	case full && b.late < 2*b.quick:
-		b.limit += 0.3 / b.limit
-	}
+	b.level += 0.1 * (level - b.level)
 }
 
 // strike eases a backend out for a while that doubles with each symptom, and has it probed before its return.
 func (b *backend) strike(g *Gate, now int64) {
 	b.strikes++
-	b.limit = max(b.limit/2, 1)
 	b.rest = now + 100*ms<<min(b.strikes, 5) // 0.2 to 3.2 s: a short stall costs little, a dead one few tries
 	if g.terms.Probes {
 		g.at(b.rest, func(now int64) {
@@ -831,7 +897,7 @@
 }
 
 // coldRoom keeps this door's part of what a cold backend bears in any span: half of it, since transactions
-// differ in work. The work is taken for one core's at the pace of the slowest backend's quick moments, so more
+// differ in work. The work is taken for one core's at the pace of the usual answer, twice, so more
 // cores only add safety. A door that has itself just started waits a span: its earlier life may have spent it.
 func (g *Gate) coldRoom(now int64, b *backend) bool {
 	if !b.cold(g, now) {
@@ -843,10 +909,7 @@
 	for len(b.sends) > 0 && b.sends[0] <= now-g.terms.FallSpan {
 		b.sends = b.sends[1:]
 	}
-	var work float64
-	for _, o := range g.ranked {
-		work = max(work, o.quick)
-	}
+	work := g.usual * 2
 	age := float64(max(now-b.started-g.terms.FallSpan, 0)) / float64(max(g.terms.WarmUp, 1))
 	part := g.terms.ColdShare + (1-g.terms.ColdShare)*age
 	room := g.terms.FallMultiple * part * float64(g.terms.FallSpan) / float64(max(g.terms.Doors, 1)) / 2
