Put lacking counts right in the doors' turn, and judge loss by raw totals

Cause: at a window's turn every door saw the carried use missing and added it at once; the customer was shut out for a window.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -75,7 +75,10 @@
 	plan    *plan
 	start   int64 // of the window
 	name    CountID
-	known   float64 // the window's total as last heard
+	carry   float64 // what the window began with: used of the burst at the turn
+	known   float64 // the window's total as last heard, and what it lacked
+	heard   float64 // the window's total alone
+	lacks   int64   // since when the count was seen to lack something; 0: it does not
 	righted float64 // what was put right on the counter's numbers, all told
 	owed    float64 // units to be told with the next call: let in without the counter, or counted and not sent
 	spent   float64 // units let in here that the door's share has not refilled yet
@@ -91,6 +94,8 @@
 	t             *Transaction // nil: asked for no transaction, or decided without the answer
 	start         int64        // of the window that the count belongs to
 	amount, units float64
+	place, doors  int     // the door's place among the customer's entry points
+	wait          int64   // the longest wait for the answer
 	righted       float64 // the customer's, when the call was made
 	in            bool    // let in
 }
@@ -283,7 +288,7 @@
 	shifted := now + int64(own%uint64(w))
 	start := now - shifted%w
 	c.known = max(c.known-c.plan.Rate*float64(start-c.start)/float64(sec), 0)
-	c.righted = 0
+	c.carry, c.heard, c.righted, c.lacks = c.known, 0, 0, 0
 	c.start, c.name = start, CountID(mix(own+uint64(shifted/w)))
 }
 
@@ -319,7 +324,7 @@
 func (g *Gate) count(now int64, c *customer, t *Transaction, amount float64) *call {
 	k := &call{c: c, t: t, start: c.start, amount: amount, righted: c.righted}
 	if t != nil {
-		k.units = t.units
+		k.units, k.place, k.doors, k.wait = t.units, t.place, int(t.entries), t.profile.wait
 	}
 	g.calls[c.name] = append(g.calls[c.name], k)
 	g.door.Count(c.name, amount, min(c.start+2*c.plan.window-now+sec, 60*sec))
@@ -388,22 +393,30 @@
 		}
 		return
 	}
-	// The total lacks what the burst cannot hold of the refill, and what a counter lost that came back empty:
-	// the first door to see it puts it right. Hurts when two see it at once: then a little too much is counted.
+	// The total lacks what the burst cannot hold of the refill, what the last window left used, and what a counter
+	// lost that came back empty. The customer's doors put it right in an order of the window's own, each only if it
+	// still lacks when the ones before had the time: two at once would count it twice and shut the customer out.
 	total += c.righted - k.righted // what was put right since the call went out
 	before, refilled := total-k.amount, c.refilled(now, k.start)
 	var right float64
-	asks := k.units > 0 // the others put right; what they add is not missing
-	if lack := refilled - before; asks && lack > 0 {
+	if k.units > 0 && k.start == c.start {
+		var lack float64
+		if c.heard-before > c.plan.quota/2 && before < c.heard/2 {
+			lack = c.heard
+		} else if before < c.carry/2 {
+			lack = c.carry
+		}
+		lack = max(lack, refilled-before, c.carry-before)
 		total += lack
-		if lack > c.plan.quota/8 { // an eighth: a call for each small step would crowd the counter
-			right += lack
+		if lack <= c.plan.quota/8 { // an eighth: a call for each small step would crowd the counter
+			c.lacks = 0
+		} else if c.lacks == 0 {
+			c.lacks = now
+		}
+		if c.lacks > 0 && now >= c.lacks+int64(c.turnOf(k.place, k.doors))*k.wait {
+			right = lack
+			c.lacks = 0
 		}
-	}
-	if lost := c.known - before; asks && k.start == c.start && before < c.known/2 && lost > c.plan.quota/2 {
-		lost = c.known + k.amount - total
-		total += lost
-		right += lost
 	}
 	if waits {
 		k.t = nil
@@ -416,7 +429,7 @@
 	if k.start != c.start {
 		return
 	}
-	c.known = total
+	c.known, c.heard = total, before+k.amount+right
 	if math.Abs(right) > slop {
 		c.righted += right
 		g.count(now, c, nil, right)
@@ -437,12 +450,14 @@
 	if share < t.units && c.spent == 0 {
 		// The floor of one transaction a door adds up past small quotas: so many doors as the quota has room for
 		// hold it, and the window's name says which.
-		turn := (t.place + int(uint64(c.name)%1024)) % int(t.entries)
-		return float64(turn+1)*t.units <= quota+slop
+		return float64(c.turnOf(t.place, int(t.entries))+1)*t.units <= quota+slop
 	}
 	return c.spent+t.units <= share+slop
 }
 
+// turnOf is a door's turn among a customer's entry points, in an order that the window's name gives.
+func (c *customer) turnOf(place, doors int) int { return (place + int(uint64(c.name)%1024)) % doors }
+
 // drain reckons what the door's share of the rate has refilled.
 func (c *customer) drain(now int64, entries float64) {
 	c.spent, c.at = max(c.spent-c.refilled(now, c.at)/entries, 0), now
