--- a/policy/policy.go
+++ b/policy/policy.go
@@ -287,7 +287,8 @@
 	own := mix(uint64(c.id) + 0x9e3779b97f4a7c15)
 	shifted := now + int64(own%uint64(w))
 	start := now - shifted%w
-	c.known = max(c.known-c.plan.Rate*float64(start-c.start)/float64(sec), 0)
+	c.known = max(c.known+c.owed-c.plan.Rate*float64(start-c.start)/float64(sec), 0)
+	c.owed = 0 // what a long silence left owing has been refilled since, but for what is carried
 	c.carry, c.heard, c.righted, c.lacks = c.known, 0, 0, 0
 	c.start, c.name = start, CountID(mix(own+uint64(shifted/w)))
 }
