--- a/policy/policy.go
+++ b/policy/policy.go
@@ -105,7 +105,8 @@
 	zone        ZoneID
 	group       GroupID
 	sent        int64
-	out, harmed bool // still out; may have run
+	level       float64 // shots out at the backend from here, this one too
+	out, harmed bool    // still out; may have run
 }
 
 // Transaction is the handle of a transaction that was taken.
@@ -607,6 +608,7 @@
 	t.out++
 	t.customer.out++
 	b.out++
+	t.shots[n].level = float64(b.out)
 	if b.cold(g, now) {
 		b.sends = append(b.sends, now)
 	}
@@ -844,12 +846,11 @@
 
 // settled learns from how a shot ended.
 func (b *backend) settled(g *Gate, now int64, s *shot, o Outcome, elapsed int64, queue float64) {
-	level := float64(b.out)
 	b.out--
 	switch o {
 	case Fulfilled:
 		b.heard, b.strikes, b.errors = now, 0, 0
-		b.measure(float64(elapsed), level)
+		b.measure(float64(elapsed), s.level)
 	case Errored:
 		b.heard = now
 		b.errors++
@@ -865,7 +866,7 @@
 		}
 	case TimedOut, Recalled:
 		if float64(elapsed) > b.late {
-			b.measure(float64(elapsed), level)
+			b.measure(float64(elapsed), s.level)
 		}
 	}
 }
