Tell pressed-out tries to come back within the promised time; overflow by a third

They are now told an eighth of the promised time, and backends are overfilled only where an answer is likely within a third of the time left.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -518,14 +518,14 @@
 	most := int(g.pace*float64(t.profile.Promised)/float64(sec)/5) + 4
 	last := t.lastCall()
 	if t.waiting || len(g.held) >= most || now >= last || len(t.shots) >= g.terms.MostShots {
-		t.end(now, t.profile.Promised)
+		t.end(now, t.profile.Promised/8)
 		return
 	}
 	t.waiting = true
 	g.held = append(g.held, t)
 	g.at(last, func(now int64) {
 		if t.waiting {
-			t.end(now, t.profile.Promised)
+			t.end(now, t.profile.Promised/8)
 		}
 	})
 }
@@ -552,7 +552,7 @@
 		}
 		t.waiting = false
 		if !t.shoot(now, b) {
-			t.end(now, t.profile.Promised)
+			t.end(now, t.profile.Promised/8)
 		}
 	}
 	g.held = nil
@@ -670,7 +670,7 @@
 		t.finish()
 	case t.out > 0:
 	case o == Moot || t.started || now >= t.lastCall():
-		t.end(now, t.profile.Promised)
+		t.end(now, t.profile.Promised/8)
 	default:
 		t.send(now)
 	}
@@ -837,7 +837,7 @@
 		if load <= 1 {
 			return b
 		}
-		if load < least && b.late*float64(b.out+1)/b.level < float64(t.promised-now)/2 {
+		if load < least && b.late*float64(b.out+1)/b.level < float64(t.promised-now)/3 {
 			best, least = b, load
 		}
 	}
