Longer patience with slow shots; a crowded counter is spared where plenty is left

A shot now counts as stalled after four usual answer times. A counter of which one call in ten fails is not asked for customers with plenty left, and a single failed call goes by what was heard last. Should also cover pauses and neighbours; hurts when a hung backend is found a little later.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -31,8 +31,7 @@
 // profile is a row of the table of profiles.
 type profile struct {
 	ProfileTerms
-	wait     int64 // longest wait for the counter
-	patience int64 // a shot that outlasts it on a silent backend is taken for stalled
+	wait int64 // longest wait for the counter
 }
 
 // plan is a row of the table of plans.
@@ -64,6 +63,7 @@
 	fails     int            // counter calls failed in a row
 	resume    int64          // when a tripped breaker lets a trial call pass
 	trial     bool           // the trial call is out
+	crowd     float64        // smoothed share of the counter calls that fail
 	askAgain  int64          // wait before the list is asked for again
 }
 
@@ -134,8 +134,7 @@
 		// A twentieth of the promised time: the post's 45 of 300 ms is dear where the calls wait in line. Four
 		// fifths of the counter's own limit keep the wait below it.
 		wait := max(min(p.Promised/20, terms.CounterTimeout*4/5), ms)
-		// Three tenths leave time for the stalled shot, another one and its answer.
-		g.profiles = append(g.profiles, profile{p, wait, max(p.Promised*3/10, ms)})
+		g.profiles = append(g.profiles, profile{p, wait})
 	}
 	for _, p := range terms.Plans {
 		row := plan{PlanTerms: p}
@@ -306,6 +305,11 @@
 		t.beyond(now) // spent as far as is known: no call can say otherwise
 		return
 	}
+	// Exception: a crowded counter, one call in ten failing, is spared where the customer has plenty left.
+	if g.crowd > 0.1 && c.owed+t.units <= min(t.rest(now), t.plan.quota/t.entries)/2 {
+		t.decide(now, true, nil)
+		return
+	}
 	if !g.mayCall(now) {
 		t.decide(now, t.share(now), nil)
 		return
@@ -322,6 +326,12 @@
 	})
 }
 
+// rest is what the customer has left of its burst, as far as this door knows.
+func (t *Transaction) rest(now int64) float64 {
+	c := t.customer
+	return t.plan.quota + c.refilled(now, c.start) - c.known - c.owed
+}
+
 // count calls the counter.
 func (g *Gate) count(now int64, c *customer, t *Transaction, amount float64) *call {
 	k := &call{c: c, t: t, start: c.start, amount: amount, righted: c.righted}
@@ -353,10 +363,12 @@
 // called keeps the breaker.
 func (g *Gate) called(now int64, ok bool) {
 	g.trial = false
+	g.crowd *= 0.95 // over about twenty calls
 	if ok {
 		g.fails = 0
 		return
 	}
+	g.crowd += 0.05
 	g.fails++
 	// A second, with chance so that the doors do not try together: the post's ten would outlast most failures.
 	g.resume = now + sec + int64(g.chance.Float64()*float64(sec)/4)
@@ -447,6 +459,10 @@
 	case DismissAll:
 		return false
 	}
+	// Exception: while only some calls fail, what was heard of the customer lately tells more than the share.
+	if t.gate.fails < breakAt && max(c.owed, 0)+t.units <= t.rest(now)/2 {
+		return true
+	}
 	c.drain(now, t.entries)
 	share := quota / t.entries
 	if share < t.units && c.spent == 0 {
@@ -613,7 +629,9 @@
 		b.sends = append(b.sends, now)
 	}
 	g.door.Shoot(t.id, b.id, 0)
-	g.at(now+t.profile.patience, func(now int64) { t.look(now, n) })
+	// Few answers take four times the usual; more than six tenths would leave too little time for another shot.
+	patience := min(max(int64(4*g.usual), t.profile.Promised*3/10), t.profile.Promised*6/10)
+	g.at(now+patience, func(now int64) { t.look(now, n) })
 	return true
 }
 
