--- a/policy/policy.go
+++ b/policy/policy.go
@@ -63,7 +63,6 @@
 	fails     int            // counter calls failed in a row
 	resume    int64          // when a tripped breaker lets a trial call pass
 	trial     bool           // the trial call is out
-	crowd     float64        // smoothed share of the counter calls that fail
 	askAgain  int64          // wait before the list is asked for again
 }
 
@@ -305,11 +304,6 @@
 		t.beyond(now) // spent as far as is known: no call can say otherwise
 		return
 	}
-	// Exception: a crowded counter, one call in ten failing, is spared where the customer has plenty left.
-	if g.crowd > 0.1 && c.owed+t.units <= min(t.rest(now), t.plan.quota/t.entries)/2 {
-		t.decide(now, true, nil)
-		return
-	}
 	if !g.mayCall(now) {
 		t.decide(now, t.share(now), nil)
 		return
@@ -326,12 +320,6 @@
 	})
 }
 
-// rest is what the customer has left of its burst, as far as this door knows.
-func (t *Transaction) rest(now int64) float64 {
-	c := t.customer
-	return t.plan.quota + c.refilled(now, c.start) - c.known - c.owed
-}
-
 // count calls the counter.
 func (g *Gate) count(now int64, c *customer, t *Transaction, amount float64) *call {
 	k := &call{c: c, t: t, start: c.start, amount: amount, righted: c.righted}
@@ -363,12 +351,10 @@
 // called keeps the breaker.
 func (g *Gate) called(now int64, ok bool) {
 	g.trial = false
-	g.crowd *= 0.95 // over about twenty calls
 	if ok {
 		g.fails = 0
 		return
 	}
-	g.crowd += 0.05
 	g.fails++
 	// A second, with chance so that the doors do not try together: the post's ten would outlast most failures.
 	g.resume = now + sec + int64(g.chance.Float64()*float64(sec)/4)
@@ -459,10 +445,6 @@
 	case DismissAll:
 		return false
 	}
-	// Exception: while only some calls fail, what was heard of the customer lately tells more than the share.
-	if t.gate.fails < breakAt && max(c.owed, 0)+t.units <= t.rest(now)/2 {
-		return true
-	}
 	c.drain(now, t.entries)
 	share := quota / t.entries
 	if share < t.units && c.spent == 0 {
@@ -629,8 +611,8 @@
 		b.sends = append(b.sends, now)
 	}
 	g.door.Shoot(t.id, b.id, 0)
-	// Few answers take four times the usual; more than six tenths would leave too little time for another shot.
-	patience := min(max(int64(4*g.usual), t.profile.Promised*3/10), t.profile.Promised*6/10)
+	// Few answers take six times the usual; more than seven tenths would leave too little time for another shot.
+	patience := min(max(int64(6*g.usual), t.profile.Promised*4/10), t.profile.Promised*7/10)
 	g.at(now+patience, func(now int64) { t.look(now, n) })
 	return true
 }
