--- a/cmd/drill/host.go
+++ b/cmd/drill/host.go
@@ -29,8 +29,8 @@
 var outcomes = map[uint16]policy.Outcome{100: policy.Fulfilled, 301: policy.Errored, 302: policy.Rejected,
 	303: policy.TimedOut, 304: policy.Unreached, 305: policy.CutOff, 306: policy.Recalled, 307: policy.Moot}
 
-// ns and msec turn the wire's milliseconds into nanoseconds and back. Nothing on the wire reaches the bound of a
-// thousand hours but absurd settings, which must not overflow.
+// ns and msec turn the wire's milliseconds into nanoseconds and back. Nothing on the wire reaches the bound
+// of a thousand hours but absurd settings, which must not overflow.
 func ns(ms float64) int64   { return int64(math.Round(min(max(ms, -3.6e9), 3.6e9) * 1e6)) }
 func msec(ns int64) float64 { return float64(ns) / 1e6 }
 
@@ -69,7 +69,8 @@
 	d.record(actEnter).U64(uint64(c)).F32(units).F64(msec(lifetime))
 }
 
-// batch answers one frame. A broken decision is reported on the wire; an error means that the frame is malformed.
+// batch answers one frame. A broken decision is reported on the wire; an error means that the frame is
+// malformed.
 func (h *host) batch(f *wire.Frame) error {
 	now := ns(f.Clock)
 	for n := 0; n < f.Records; n++ {
--- a/cmd/drill/main.go
+++ b/cmd/drill/main.go
@@ -1,5 +1,5 @@
-// Command drill puts the decisions on the simulator's wire: it reads batches of events from standard input and
-// writes one reply a batch to standard output. It translates and decides nothing.
+// Command drill puts the decisions on the simulator's wire: it reads batches of events from standard input
+// and writes one reply a batch to standard output. It translates and decides nothing.
 package main
 
 import (
--- a/policy/api.go
+++ b/policy/api.go
@@ -1,5 +1,5 @@
-// Package policy decides, for one front door, what becomes of each transaction. This file holds the words that
-// the decisions and their caller share; the decisions are in policy.go.
+// Package policy decides, for one front door, what becomes of each transaction. This file holds the words
+// that the decisions and their caller share; the decisions are in policy.go.
 package policy
 
 // Each kind of id is a type of its own. Ids say nothing beyond being equal or not.
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -1,12 +1,13 @@
-// Package policy holds every decision of one front door. Its interface (ids, outcomes, terms, and the Door that
-// the decisions act through) is in api.go.
+// Package policy holds every decision of one front door. Its interface (ids, outcomes, terms, and the Door
+// that the decisions act through) is in api.go.
 //
 // How to call it: New makes a Gate from the terms; Backends feeds it the list. Take takes a transaction and
 // gives its handle; Settled, Started and Left are called on that handle. Counted, Probed and Wake bring the
 // answers of the counter, of probes and of the clock. Calls of one Gate come one at a time, in order of time.
-// Each transaction is counted on the counter under a short wait; a breaker stops calling a counter that fails,
-// and the front door's share of the quota decides instead. What is let in goes to the first backend of a ranked
-// order that is below its learned limit. Only (*Transaction).shoot sends, and only end and Settled finish.
+// What it remembers is laid out in state.go. Each transaction is counted on the counter under a short wait; a
+// breaker stops calling a counter that fails, and the front door's share of the quota decides instead. What
+// is let in goes to the first backend of a ranked order that is below its learned limit. Only
+// (*Transaction).shoot sends, and only end and Settled finish.
 package policy
 
 import (
@@ -14,116 +15,11 @@
 	"math"
 	"sort"
 
-	"fawnplank/internal/due"
 	"fawnplank/internal/pcg"
 )
 
-const (
-	ms  = int64(1e6)
-	sec = int64(1e9)
-	// slop forgives rounding: the counter tells totals to seven digits.
-	slop = 0.01
-)
-
-// markTick marks the periodic timer; the one for the earliest due time is marked by its number, from 1.
-const markTick = 0
-
-// profile is a row of the table of profiles.
-type profile struct {
-	ProfileTerms
-	wait int64 // longest wait for the counter
-}
-
-// plan is a row of the table of plans.
-type plan struct {
-	PlanTerms
-	window int64   // the time in which the rate fills one burst
-	quota  float64 // units a window
-}
-
-// Gate is one front door's decisions and all that they remember.
-type Gate struct {
-	door      Door
-	terms     Terms
-	profiles  []profile
-	plans     []plan
-	chance    *pcg.Source
-	born      int64
-	due       due.Queue[func(now int64)]
-	woken     int64  // the time of the earliest wake asked for; 0: none
-	wakes     uint64 // its number
-	backends  map[BackendID]*backend
-	ranked    []*backend
-	calls     map[CountID][]*call // unanswered, in the order they were made
-	customers map[CustomerID]*customer
-	held      []*Transaction // let in, waiting for room at a backend
-	pace      float64        // answers a second
-	usual     float64        // answer time of the backends together; 0: unknown
-	answers   int            // since the last tick
-	fails     int            // counter calls failed in a row
-	resume    int64          // when a tripped breaker lets a trial call pass
-	trial     bool           // the trial call is out
-	askAgain  int64          // wait before the list is asked for again
-}
-
-// customer is what this door knows of a customer: of its quota, and of the limits that the door holds by itself.
-// The count of a window is reckoned against what the rate has refilled since the window's start: the customer has
-// used total - refilled of its burst.
-type customer struct {
-	id      CustomerID
-	plan    *plan
-	start   int64 // of the window
-	name    CountID
-	carry   float64 // what the window began with: used of the burst at the turn
-	known   float64 // the window's total as last heard, and what it lacked
-	heard   float64 // the window's total alone
-	lacks   int64   // since when the count was seen to lack something; 0: it does not
-	righted float64 // what was put right on the counter's numbers, all told
-	owed    float64 // units to be told with the next call: let in without the counter, or counted and not sent
-	spent   float64 // units let in here that the door's share has not refilled yet
-	at      int64   // when spent was last reckoned
-	out     int     // shots out
-	ceiling float64
-	filled  int64 // when the ceiling's store was last reckoned
-}
-
-// call is one unanswered call to the counter.
-type call struct {
-	c             *customer
-	t             *Transaction // nil: asked for no transaction, or decided without the answer
-	start         int64        // of the window that the count belongs to
-	amount, units float64
-	place, doors  int     // the door's place among the customer's entry points
-	wait          int64   // the longest wait for the answer
-	righted       float64 // the customer's, when the call was made
-	in            bool    // let in
-}
-
-type shot struct {
-	to          *backend
-	zone        ZoneID
-	group       GroupID
-	sent        int64
-	level       float64 // shots out at the backend from here, this one too
-	out, harmed bool    // still out; may have run
-}
-
-// Transaction is the handle of a transaction that was taken.
-type Transaction struct {
-	gate            *Gate
-	id              TransactionID
-	profile         *profile
-	plan            *plan
-	customer        *customer
-	units, entries  float64
-	place           int // this door's place among the customer's entry points
-	promised, limit int64
-	asking, let     bool // waits for the counter; was let in
-	inside, waiting bool // within the quota; held for room
-	over, started   bool
-	shots           []shot
-	out             int
-}
+// slop forgives rounding: the counter tells totals to seven digits.
+const slop = 0.01
 
 // New starts the decisions of a front door.
 func New(now int64, seed uint64, terms Terms, door Door) *Gate {
@@ -139,7 +35,7 @@
 		row := plan{PlanTerms: p}
 		if p.Rate > 0 {
 			// The counter drops numbers after a minute; the lower bound keeps absurd plans from spinning.
-			row.window = int64(min(max(p.Burst/p.Rate, 0.01), 50) * float64(sec))
+			row.window = span(min(max(p.Burst/p.Rate, 0.01), 50))
 			row.quota = p.Rate * float64(row.window) / float64(sec)
 		}
 		g.plans = append(g.plans, row)
@@ -151,42 +47,8 @@
 	return g
 }
 
-// at calls what at the time when, or soon after.
-func (g *Gate) at(when int64, what func(now int64)) {
-	g.due.Add(when, what)
-	if g.woken == 0 || when < g.woken {
-		g.wakeAt(when)
-	}
-}
-
-func (g *Gate) wakeAt(when int64) {
-	g.woken = when
-	g.wakes++
-	g.door.Wake(when, g.wakes)
-}
-
-// Wake does what has fallen due.
-func (g *Gate) Wake(now int64, mark uint64) {
-	if mark == markTick {
-		g.tick(now)
-		return
-	}
-	if mark != g.wakes {
-		return // an earlier one has been asked for since
-	}
-	for {
-		what, ok := g.due.Take(now)
-		if !ok {
-			break
-		}
-		what(now)
-	}
-	g.woken = 0
-	// A clock coarser than ours may wake a little early: then this asks again for the same time.
-	if next, ok := g.due.Next(); ok {
-		g.wakeAt(max(next, now+1))
-	}
-}
+// span turns seconds into a time that later sums cannot overflow, whatever a plan's figures are.
+func span(seconds float64) int64 { return int64(min(max(seconds, 0), 1e8) * float64(sec)) }
 
 // tick is the periodic work. A tenth of a second gives even slow doors an answer or two between two orders.
 func (g *Gate) tick(now int64) {
@@ -216,10 +78,11 @@
 	t.place = ((g.terms.Me-first)%max(g.terms.Doors, 1) + max(g.terms.Doors, 1)) % max(g.terms.Doors, 1)
 	if t.plan.CeilingRate > 0 {
 		if lacks := t.units - t.fillCeiling(now); lacks > 0 {
-			t.end(now, int64(lacks*t.entries/t.plan.CeilingRate*float64(sec)))
+			t.end(now, span(lacks*t.entries/t.plan.CeilingRate))
 			return t
 		}
 		t.customer.ceiling -= t.units
+		t.drawn = t.units
 	}
 	if t.plan.Parallel > 0 && t.customer.out >= max(t.plan.Parallel/int(t.entries), 1) {
 		t.beyond(now)
@@ -243,12 +106,12 @@
 	return c
 }
 
-// forget drops a customer's entry once it has passed two windows unused, nothing of it is out, and its ceiling's
-// store would be full anyway.
+// forget drops a customer's entry once it has passed two windows unused, nothing of it is out, and its
+// ceiling's store would be full anyway.
 func (g *Gate) forget(now int64, c *customer) {
 	rest := max(2*c.plan.window, 10*sec) // ten seconds: seldom enough for plans of tiny windows
 	if c.plan.CeilingRate > 0 {
-		rest = max(rest, int64(min(c.plan.CeilingBurst/c.plan.CeilingRate, 3600)*float64(sec)))
+		rest = max(rest, span(c.plan.CeilingBurst/c.plan.CeilingRate))
 	}
 	g.at(now+rest, func(now int64) {
 		if c.out == 0 && now-max(c.at, c.filled) >= rest {
@@ -269,15 +132,9 @@
 	return c.ceiling
 }
 
-func mix(x uint64) uint64 {
-	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
-	x = (x ^ x>>27) * 0x94d049bb133111eb
-	return x ^ x>>31
-}
-
-// turn goes on to the window of now. Windows start at a time of the customer's own, so that clients who were told
-// to come back do not all come at once. What the last window used beyond its refill is carried over: else a turn
-// would grant a fresh burst.
+// turn goes on to the window of now. Windows start at a time of the customer's own, so that clients who were
+// told to come back do not all come at once. What the last window used beyond its refill is carried over:
+// else a turn would grant a fresh burst.
 func (c *customer) turn(now int64) {
 	w := c.plan.window
 	if w == 0 || c.name != 0 && now < c.start+w {
@@ -312,19 +169,27 @@
 	k := g.count(now, c, t, t.units+c.owed)
 	c.owed = 0
 	g.at(now+min(t.profile.wait, (t.limit-now)/2), func(now int64) {
-		if t.asking && k.t == t {
-			k.t = nil
-			g.called(now, false)
-			t.decide(now, t.share(now), k)
+		if k.waits {
+			k.answered(g, now, false, t.share(now))
 		}
 	})
 }
 
+// answered ends the wait for a call's answer, in time or not: the breaker hears of it, and the transaction is
+// decided, unless its client left meanwhile.
+func (k *call) answered(g *Gate, now int64, ok, in bool) {
+	k.waits = false
+	g.called(now, ok)
+	if k.t.asking {
+		k.t.decide(now, in, k)
+	}
+}
+
 // count calls the counter.
 func (g *Gate) count(now int64, c *customer, t *Transaction, amount float64) *call {
-	k := &call{c: c, t: t, start: c.start, amount: amount, righted: c.righted}
+	k := &call{c: c, t: t, start: c.start, amount: amount, righted: c.righted, waits: t != nil}
 	if t != nil {
-		k.units, k.place, k.doors, k.wait = t.units, t.place, int(t.entries), t.profile.wait
+		k.units = t.units
 	}
 	g.calls[c.name] = append(g.calls[c.name], k)
 	g.door.Count(c.name, amount, min(c.start+2*c.plan.window-now+sec, 60*sec))
@@ -371,14 +236,9 @@
 		delete(g.calls, name)
 	}
 	c, t := k.c, k.t
-	waits := t != nil && t.asking
-	if waits {
-		g.called(now, o == Fulfilled)
-	}
 	if o != Fulfilled {
-		if waits {
-			k.t = nil
-			t.decide(now, t.share(now), k)
+		if k.waits {
+			k.answered(g, now, false, t.share(now))
 		}
 		if o == TimedOut && g.fails < breakAt {
 			// It was likely added late, by a slow counter that was not given up.
@@ -393,13 +253,14 @@
 		}
 		return
 	}
-	// The total lacks what the burst cannot hold of the refill, what the last window left used, and what a counter
-	// lost that came back empty. The customer's doors put it right in an order of the window's own, each only if it
-	// still lacks when the ones before had the time: two at once would count it twice and shut the customer out.
+	// The total lacks what the burst cannot hold of the refill, what the last window left used, and what a
+	// counter lost that came back empty. The customer's doors put it right in an order of the window's own, each
+	// only if it still lacks when the ones before had the time: two at once would count it twice and shut the
+	// customer out.
 	total += c.righted - k.righted // what was put right since the call went out
 	before, refilled := total-k.amount, c.refilled(now, k.start)
 	var right float64
-	if k.units > 0 && k.start == c.start {
+	if t != nil && k.start == c.start {
 		var lack float64
 		if c.heard-before > c.plan.quota/2 && before < c.heard/2 {
 			lack = c.heard
@@ -413,14 +274,13 @@
 		} else if c.lacks == 0 {
 			c.lacks = now
 		}
-		if c.lacks > 0 && now >= c.lacks+int64(c.turnOf(k.place, k.doors))*k.wait {
+		if c.lacks > 0 && now >= c.lacks+int64(c.turnOf(t))*t.profile.wait {
 			right = lack
 			c.lacks = 0
 		}
 	}
-	if waits {
-		k.t = nil
-		t.decide(now, total <= c.plan.quota+refilled+slop, k)
+	if k.waits {
+		k.answered(g, now, true, total <= c.plan.quota+refilled+slop)
 	}
 	if !k.in {
 		right -= k.units
@@ -450,13 +310,15 @@
 	if share < t.units && c.spent == 0 {
 		// The floor of one transaction a door adds up past small quotas: so many doors as the quota has room for
 		// hold it, and the window's name says which.
-		return float64(c.turnOf(t.place, int(t.entries))+1)*t.units <= quota+slop
+		return float64(c.turnOf(t)+1)*t.units <= quota+slop
 	}
 	return c.spent+t.units <= share+slop
 }
 
 // turnOf is a door's turn among a customer's entry points, in an order that the window's name gives.
-func (c *customer) turnOf(place, doors int) int { return (place + int(uint64(c.name)%1024)) % doors }
+func (c *customer) turnOf(t *Transaction) int {
+	return (t.place + int(uint64(c.name)%1024)) % int(t.entries)
+}
 
 // drain reckons what the door's share of the rate has refilled.
 func (c *customer) drain(now int64, entries float64) {
@@ -485,7 +347,7 @@
 	again := t.profile.Promised
 	if t.plan.Rate > 0 {
 		lacks := c.known + t.units - t.plan.quota - c.refilled(now, c.start)
-		again = int64(max(lacks, t.units/2) / t.plan.Rate * float64(sec))
+		again = span(max(lacks, t.units/2) / t.plan.Rate)
 	}
 	if t.plan.BeyondEarns > t.plan.BeyondCosts && len(t.gate.held) == 0 {
 		if b := t.gate.pick(now, t); b != nil && b.load() <= 1 {
@@ -498,7 +360,7 @@
 
 // letIn sends a transaction on its way.
 func (t *Transaction) letIn(now int64, inside bool) {
-	t.let, t.inside = true, inside
+	t.inside = inside
 	if inside && t.plan.Rate > 0 {
 		t.customer.drain(now, t.entries)
 		t.customer.spent += t.units
@@ -512,10 +374,12 @@
 	if b := g.pick(now, t); b != nil && t.shoot(now, b) {
 		return
 	}
-	// Only as many are held as the pace of answers takes up within a fifth of the promised time.
+	// Only as many are held as the pace of answers takes up within a fifth of the promised time, and none that
+	// has few backends to wait for, since a shot of it may have run.
 	most := int(g.pace*float64(t.profile.Promised)/float64(sec)/5) + 4
-	last := t.lastCall()
-	if t.waiting || len(g.held) >= most || now >= last || len(t.shots) >= g.terms.MostShots {
+	last := min(t.lastCall(), t.promised)
+	if len(g.held) >= most || now >= last || len(t.shots) >= g.terms.MostShots ||
+		t.profile.Effect != Reissuable && !t.unharmed() {
 		t.end(now, t.profile.Promised/8)
 		return
 	}
@@ -538,22 +402,19 @@
 
 // fill gives held transactions the room that there is now.
 func (g *Gate) fill(now int64) {
-	held := g.held
-	for i, t := range held {
+	held := g.held[:0]
+	for _, t := range g.held {
 		if !t.waiting {
 			continue
 		}
-		b := g.pick(now, t)
-		if b == nil {
-			g.held = held[i:]
-			return
-		}
-		t.waiting = false
-		if !t.shoot(now, b) {
-			t.end(now, t.profile.Promised/8)
+		if b := g.pick(now, t); b != nil {
+			t.waiting = false
+			t.shoot(now, b)
+		} else {
+			held = append(held, t)
 		}
 	}
-	g.held = nil
+	g.held = held
 }
 
 // allowed says whether a shot may go to b: the one gate of rules 1 to 4.
@@ -580,14 +441,17 @@
 			}
 		}
 	}
-	return g.coldRoom(now, b)
+	return t.coldRoom(now, b)
 }
 
 // harmless says whether dismissal may promise that trying again does no harm.
 func (t *Transaction) harmless() bool {
-	if t.profile.Effect == Reissuable || t.profile.Effect == Numbered && t.profile.Reach == ReachAll {
-		return true
-	}
+	p := t.profile
+	return p.Effect == Reissuable || p.Effect == Numbered && p.Reach == ReachAll || t.unharmed()
+}
+
+// unharmed says whether it is proved that no shot ran.
+func (t *Transaction) unharmed() bool {
 	for i := range t.shots {
 		if t.shots[i].harmed {
 			return false
@@ -607,19 +471,23 @@
 	t.customer.out++
 	b.out++
 	t.shots[n].level = float64(b.out)
-	if b.cold(g, now) {
-		b.sends = append(b.sends, now)
-	}
-	g.door.Shoot(t.id, b.id, 0)
+	b.trim(g, now)
+	b.sends = append(b.sends, now)
 	// Few answers take six times the usual; more than seven tenths would leave too little time for another shot.
 	patience := min(max(int64(6*g.usual), t.profile.Promised*4/10), t.profile.Promised*7/10)
+	var expire int64
+	if !g.terms.SecondCopies && !g.terms.Recalls && t.profile.Effect != AtMostOnce &&
+		len(t.shots) < g.terms.MostShots {
+		expire = now + patience // nothing else makes room for another shot
+	}
+	g.door.Shoot(t.id, b.id, expire)
 	g.at(now+patience, func(now int64) { t.look(now, n) })
 	return true
 }
 
 // look asks whether a shot that takes long is stalled: its backend has answered nothing since. Guards against
-// backends that hang, stand still or are cut off, whatever the cause. Hurts when a transaction is merely long and
-// its backend has no other traffic from this door: work is done twice.
+// backends that hang, stand still or are cut off, whatever the cause. Hurts when a transaction is merely long
+// and its backend has no other traffic from this door: work is done twice.
 func (t *Transaction) look(now int64, n int) {
 	s, g := &t.shots[n], t.gate
 	if !s.out || t.over || t.started || s.to.heard > s.sent {
@@ -628,7 +496,7 @@
 	if now >= s.to.rest {
 		s.to.strike(g, now)
 	}
-	if t.out > 1 || now >= t.lastCall() || t.profile.Effect == AtMostOnce {
+	if t.out > 1 || now >= t.lastCall() || !t.harmless() {
 		return
 	}
 	if g.terms.SecondCopies {
@@ -650,7 +518,8 @@
 
 // Settled tells how a shot ended. over says that the transaction is finished; trueUnits is what it really
 // counted, if that is told afterwards; queue is the backend's own report of waiting transactions, or below 0.
-func (t *Transaction) Settled(now int64, n ShotID, o Outcome, elapsed int64, over bool, trueUnits, queue float64) {
+func (t *Transaction) Settled(now int64, n ShotID, o Outcome, elapsed int64, over bool,
+	trueUnits, queue float64) {
 	if int(n) >= len(t.shots) || !t.shots[n].out {
 		return
 	}
@@ -687,8 +556,8 @@
 // Done says that nothing more will come for this handle.
 func (t *Transaction) Done() bool { return t.over && t.out == 0 }
 
-// end is the only place that gives the final answer: a dismissal where that may promise no harm, with advice to
-// come back after the time again, or else a break-off.
+// end is the only place that gives the final answer: a dismissal where that may promise no harm, with advice
+// to come back after the time again, or else a break-off.
 func (t *Transaction) end(now, again int64) {
 	if t.over {
 		return
@@ -709,16 +578,13 @@
 
 // finish marks a transaction as answered and gives back what it did not use.
 func (t *Transaction) finish() {
-	t.over, t.waiting = true, false
-	t.asking = false
-	if len(t.shots) == 0 && t.let {
+	t.over, t.waiting, t.asking = true, false, false
+	if len(t.shots) == 0 {
+		t.customer.ceiling += t.drawn
 		if t.inside {
 			t.customer.owed -= t.units
 			t.customer.spent -= t.units
 		}
-		if t.plan.CeilingRate > 0 {
-			t.customer.ceiling += t.units
-		}
 	}
 	for i := range t.shots {
 		if t.shots[i].out && t.gate.terms.Recalls && !t.started {
@@ -727,25 +593,6 @@
 	}
 }
 
-// backend is what this door knows of a backend.
-type backend struct {
-	id          BackendID
-	zone        ZoneID
-	group       GroupID
-	size        float64
-	started     int64
-	ready       bool
-	out         int
-	limit       float64 // shots out up to which it is filled in its turn
-	late, level float64 // smoothed answer time, 0: unknown; and shots out while it was measured
-	heard       int64   // when it last answered
-	rest        int64   // no shots before
-	strikes     int     // symptoms of illness since the last good answer
-	errors      int     // errors in a row
-	sends       []int64 // shots while cold, within the last span
-	tie         uint64
-}
-
 // Backends brings the list of backends, or changes to it.
 func (g *Gate) Backends(now int64, how Listing, list []Listed) {
 	if how == ListFailed {
@@ -774,10 +621,11 @@
 	g.fill(now)
 }
 
-// rank renews the order of the backends: the quicker first, by steps of about 40%, since finer differences are
-// chance; then those of the own zone where crossing has a price; then in an order of this door's own, so that
-// the doors do not crowd the same ones. The limits follow the answer times against the usual one: a backend
-// that is slow, for whatever reason, is filled less, and drifts back to the usual while it is not heard.
+// rank renews the order of the backends: the quicker first, by steps of about 40%, since finer differences
+// are chance; then those of the own zone where crossing has a price; then in an order of this door's own, so
+// that the doors do not crowd the same ones. The limits follow the answer times against the usual one: a
+// backend that is slow, for whatever reason, is filled less, and drifts back to the usual while it is not
+// heard.
 func (g *Gate) rank() {
 	g.ranked = g.ranked[:0]
 	var sum, n float64
@@ -819,8 +667,8 @@
 // load is how full one more shot would make the backend, as a share of its limit.
 func (b *backend) load() float64 { return float64(b.out+1) / b.limit }
 
-// pick gives the first backend in the order that is below its limit; with none, the least loaded that can still
-// answer within half of the promised time left. It avoids those the transaction has tried.
+// pick gives the first backend in the order that is below its limit; with none, the least loaded that can
+// still answer within half of the promised time left. It avoids those the transaction has tried.
 func (g *Gate) pick(now int64, t *Transaction) *backend {
 	var best *backend
 	least := math.Inf(1)
@@ -913,22 +761,32 @@
 	return b.started > 0 && now-b.started < g.terms.WarmUp
 }
 
+// trim forgets the shots before the span that a cold backend's budget is kept for. All are remembered, for a
+// start is told late.
+func (b *backend) trim(g *Gate, now int64) {
+	for len(b.sends) > 0 && b.sends[0] <= now-g.terms.FallSpan {
+		b.sends = b.sends[1:]
+	}
+}
+
 // coldRoom keeps this door's part of what a cold backend bears in any span: half of it, since transactions
-// differ in work. The work is taken for one core's at the pace of the usual answer, twice, so more
-// cores only add safety. A door that has itself just started waits a span: its earlier life may have spent it.
-func (g *Gate) coldRoom(now int64, b *backend) bool {
+// differ in work. The work is taken for one core's at the pace of the usual answer, twice, so more cores only
+// add safety. A door that has itself just started waits a span: its earlier life may have spent it.
+func (t *Transaction) coldRoom(now int64, b *backend) bool {
+	g := t.gate
 	if !b.cold(g, now) {
 		return true
 	}
 	if now-g.born < g.terms.FallSpan {
 		return false
 	}
-	for len(b.sends) > 0 && b.sends[0] <= now-g.terms.FallSpan {
-		b.sends = b.sends[1:]
-	}
+	b.trim(g, now)
 	work := g.usual * 2
+	if work == 0 {
+		work = float64(t.profile.Promised) / 2 // nothing measured yet: few promises are tighter
+	}
 	age := float64(max(now-b.started-g.terms.FallSpan, 0)) / float64(max(g.terms.WarmUp, 1))
 	part := g.terms.ColdShare + (1-g.terms.ColdShare)*age
 	room := g.terms.FallMultiple * part * float64(g.terms.FallSpan) / float64(max(g.terms.Doors, 1)) / 2
-	return work > 0 && float64(len(b.sends)+1)*work <= room
+	return float64(len(b.sends)+1)*work <= room
 }
--- /dev/null
+++ b/policy/state.go
@@ -0,0 +1,173 @@
+package policy
+
+import (
+	"fawnplank/internal/due"
+	"fawnplank/internal/pcg"
+)
+
+// This file lays out what the decisions remember, and keeps the timers. It decides nothing.
+
+const (
+	ms  = int64(1e6)
+	sec = int64(1e9)
+	// markTick marks the periodic timer; the one for the earliest due time is marked by its number, from 1.
+	markTick = 0
+)
+
+// profile is a row of the table of profiles.
+type profile struct {
+	ProfileTerms
+	wait int64 // longest wait for the counter
+}
+
+// plan is a row of the table of plans.
+type plan struct {
+	PlanTerms
+	window int64   // the time in which the rate fills one burst
+	quota  float64 // units a window
+}
+
+// Gate is one front door's decisions and all that they remember.
+type Gate struct {
+	door      Door
+	terms     Terms
+	profiles  []profile
+	plans     []plan
+	chance    *pcg.Source
+	born      int64
+	due       due.Queue[func(now int64)]
+	woken     int64  // the time of the earliest wake asked for; 0: none
+	wakes     uint64 // its number
+	backends  map[BackendID]*backend
+	ranked    []*backend
+	calls     map[CountID][]*call // unanswered, in the order they were made
+	customers map[CustomerID]*customer
+	held      []*Transaction // let in, waiting for room at a backend
+	pace      float64        // answers a second
+	usual     float64        // answer time of the backends together; 0: unknown
+	answers   int            // since the last tick
+	fails     int            // counter calls failed in a row
+	resume    int64          // when a tripped breaker lets a trial call pass
+	trial     bool           // the trial call is out
+	askAgain  int64          // wait before the list is asked for again
+}
+
+// customer is what this door knows of a customer: of its quota, and of the limits that the door holds by
+// itself. The count of a window is reckoned against what the rate has refilled since the window's start: the
+// customer has used total - refilled of its burst.
+type customer struct {
+	id      CustomerID
+	plan    *plan
+	start   int64 // of the window
+	name    CountID
+	carry   float64 // what the window began with: used of the burst at the turn
+	known   float64 // the window's total as last heard, and what it lacked
+	heard   float64 // the window's total alone
+	lacks   int64   // since when the count was seen to lack something; 0: it does not
+	righted float64 // what was put right on the counter's numbers, all told
+	owed    float64 // units to be told with the next call: let in without the counter, or counted and not sent
+	spent   float64 // units let in here that the door's share has not refilled yet
+	at      int64   // when spent was last reckoned
+	out     int     // shots out
+	ceiling float64
+	filled  int64 // when the ceiling's store was last reckoned
+}
+
+// call is one unanswered call to the counter.
+type call struct {
+	c             *customer
+	t             *Transaction // nil: puts the count right
+	start         int64        // of the window that the count belongs to
+	amount, units float64
+	righted       float64 // the customer's, when the call was made
+	waits, in     bool    // decides t when it is answered; t was let in
+}
+
+type shot struct {
+	to          *backend
+	zone        ZoneID
+	group       GroupID
+	sent        int64
+	level       float64 // shots out at the backend from here, this one too
+	out, harmed bool    // still out; may have run
+}
+
+// Transaction is the handle of a transaction that was taken.
+type Transaction struct {
+	gate                  *Gate
+	id                    TransactionID
+	profile               *profile
+	plan                  *plan
+	customer              *customer
+	units, entries        float64
+	drawn                 float64 // from the ceiling
+	place                 int     // this door's place among the customer's entry points
+	promised, limit       int64
+	asking, waiting       bool // for the counter; for room
+	inside, over, started bool
+	shots                 []shot
+	out                   int
+}
+
+// backend is what this door knows of a backend.
+type backend struct {
+	id          BackendID
+	zone        ZoneID
+	group       GroupID
+	size        float64
+	started     int64
+	ready       bool
+	out         int
+	limit       float64 // shots out up to which it is filled in its turn
+	late, level float64 // smoothed answer time, 0: unknown; and shots out while it was measured
+	heard       int64   // when it last answered
+	rest        int64   // no shots before
+	strikes     int     // symptoms of illness since the last good answer
+	errors      int     // errors in a row
+	sends       []int64 // shots within the span of a cold backend's budget
+	tie         uint64
+}
+
+// at calls what at the time when, or soon after.
+func (g *Gate) at(when int64, what func(now int64)) {
+	g.due.Add(when, what)
+	if g.woken == 0 || when < g.woken {
+		g.wakeAt(when)
+	}
+}
+
+func (g *Gate) wakeAt(when int64) {
+	g.woken = when
+	g.wakes++
+	g.door.Wake(when, g.wakes)
+}
+
+// Wake does what has fallen due.
+func (g *Gate) Wake(now int64, mark uint64) {
+	if mark == markTick {
+		g.tick(now)
+		return
+	}
+	if mark != g.wakes {
+		return // an earlier one has been asked for since
+	}
+	for {
+		what, ok := g.due.Take(now)
+		if !ok {
+			break
+		}
+		what(now)
+	}
+	g.woken = 0
+	// A clock coarser than ours may wake a little early: then this asks again for the same time.
+	if next, ok := g.due.Next(); ok {
+		g.wakeAt(max(next, now+1))
+	}
+}
+
+// mix spreads a number over 64 bits.
+func mix(x uint64) uint64 {
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
