--- a/policy/policy.go
+++ b/policy/policy.go
@@ -56,6 +56,10 @@
 	g.pace += 0.1 * (float64(g.answers)*float64(sec/period) - g.pace)
 	g.answers = 0
 	g.rank()
+	if g.firsts >= early/2 && g.usual > 0 {
+		// Falls with a quicker fleet in a second, and rises with a slower one in about a minute.
+		g.quick += 0.002*(g.usual-g.quick) + 0.1*min(g.usual-g.quick, 0)
+	}
 	g.fill(now)
 	g.door.Wake(now+period, markTick)
 }
@@ -463,6 +467,9 @@
 	return true
 }
 
+// early is how many first shots of a door tell the answer time of quiet moments: enough to average over chance.
+const early = 30
+
 // shoot is the only place that sends.
 func (t *Transaction) shoot(now int64, b *backend) bool {
 	if !t.allowed(now, b) {
@@ -473,7 +480,8 @@
 	t.out++
 	t.customer.out++
 	b.out++
-	t.shots[n].level = float64(b.out)
+	t.shots[n].level, t.shots[n].early = float64(b.out), g.sent < early
+	g.sent++
 	b.trim(g, now)
 	b.sends = append(b.sends, now)
 	// Few answers take six times the usual; more than seven tenths would leave too little time for another shot.
@@ -674,7 +682,10 @@
 // still answer within half of the promised time left. It avoids those the transaction has tried.
 func (g *Gate) pick(now int64, t *Transaction) *backend {
 	var best *backend
-	least := math.Inf(1)
+	least, most := math.Inf(1), float64(t.promised-now)/3
+	if g.firsts >= early/2 {
+		most = min(most, 2*g.quick)
+	}
 	for _, b := range g.ranked {
 		if now < b.rest || b.strikes > 0 && b.out > 0 || !t.allowed(now, b) {
 			continue
@@ -688,7 +699,7 @@
 		if load <= 1 {
 			return b
 		}
-		if load < least && b.late*float64(b.out+1)/b.level < float64(t.promised-now)/3 {
+		if load < least && b.late*float64(b.out+1)/b.level < most {
 			best, least = b, load
 		}
 	}
@@ -701,6 +712,10 @@
 	switch o {
 	case Fulfilled:
 		b.heard, b.strikes, b.errors = now, 0, 0
+		if s.early { // the first shots of a door's life meet the lines before it has filled them
+			g.firsts++
+			g.quick += (float64(elapsed) - g.quick) / g.firsts
+		}
 		b.measure(float64(elapsed), s.level)
 	case Errored:
 		b.heard = now
--- a/policy/state.go
+++ b/policy/state.go
@@ -45,6 +45,9 @@
 	held      []*Transaction // let in, waiting for room at a backend
 	pace      float64        // answers a second
 	usual     float64        // answer time of the backends together; 0: unknown
+	quick     float64        // the usual answer time of quiet moments; 0: unknown
+	sent      int            // shots in this door's life
+	firsts    float64        // of the first ones, answered
 	answers   int            // since the last tick
 	fails     int            // counter calls failed in a row
 	resume    int64          // when a tripped breaker lets a trial call pass
@@ -90,6 +93,7 @@
 	sent        int64
 	level       float64 // shots out at the backend from here, this one too
 	out, harmed bool    // still out; may have run
+	early       bool    // one of the first of the door's life
 }
 
 // Transaction is the handle of a transaction that was taken.
