Thin the calls to a counter that answers only some of them

Each failed call now lowers the part of the transactions that call by a fifth, each good one raises it by a fiftieth; the others go by the share.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -24,7 +24,7 @@
 // New starts the decisions of a front door.
 func New(now int64, seed uint64, terms Terms, door Door) *Gate {
 	g := &Gate{door: door, terms: terms, chance: pcg.New(seed), born: now, backends: map[BackendID]*backend{},
-		calls: map[CountID][]*call{}, customers: map[CustomerID]*customer{}, askAgain: 500 * ms}
+		calls: map[CountID][]*call{}, customers: map[CustomerID]*customer{}, askAgain: 500 * ms, part: 1}
 	for _, p := range terms.Profiles {
 		// A twentieth of the promised time: the post's 45 of 300 ms is dear where the calls wait in line. Four
 		// fifths of the counter's own limit keep the wait below it.
@@ -210,7 +210,7 @@
 		return false
 	}
 	if g.fails < breakAt {
-		return true
+		return g.part >= 1 || g.chance.Float64() < g.part
 	}
 	if g.trial || now < g.resume {
 		return false
@@ -223,10 +223,11 @@
 func (g *Gate) called(now int64, ok bool) {
 	g.trial = false
 	if ok {
-		g.fails = 0
+		g.fails, g.part = 0, min(g.part+0.02, 1)
 		return
 	}
 	g.fails++
+	g.part = max(g.part*0.8, 0.05)
 	// A second, with chance so that the doors do not try together: the post's ten would outlast most failures.
 	g.resume = now + sec + int64(g.chance.Float64()*float64(sec)/4)
 }
--- a/policy/state.go
+++ b/policy/state.go
@@ -52,6 +52,7 @@
 	fails     int            // counter calls failed in a row
 	resume    int64          // when a tripped breaker lets a trial call pass
 	trial     bool           // the trial call is out
+	part      float64        // of the transactions that call, while a crowded counter answers only some
 	askAgain  int64          // wait before the list is asked for again
 }
 
