Local share by the door's own part of the traffic, and a counter's calls back by halves

Cause: the even share meets customers who gather at one door early (the design's own first break). What the counter told while it answered shows each door's part of a customer's traffic; the share of a silence follows it. After a trip the calls now come back by halves and no longer from a twentieth, which a test found. Load reports and sizes, never acted on, are no longer read.

--- a/policy/api.go
+++ b/policy/api.go
@@ -11,10 +11,8 @@
 	ProfileID     uint16 // index into Terms.Profiles
 	PlanID        uint32 // index into Terms.Plans
 	ZoneID        uint16
-	KindID        uint8
 	GroupID       uint16
-	DoorID        uint32 // a front door's number among its fellows
-	ShotID        uint8  // a transaction's shots are numbered from 0 in the order they were sent
+	ShotID        uint8 // a transaction's shots are numbered from 0 in the order they were sent
 )
 
 // Outcome is how a shot, a probe or a count ended.
@@ -81,10 +79,8 @@
 type Listed struct {
 	Backend BackendID
 	Zone    ZoneID
-	Kind    KindID
 	Group   GroupID
 	Stage   Stage
-	Size    float64
 	Started int64 // 0: long ago
 }
 
@@ -96,8 +92,6 @@
 	Promised    int64
 	HardLimit   int64
 	LateUtility float64 // share of the utility an answer after the promised time keeps
-	Utility     float64
-	Stream      bool
 	Silence     Silence // preset; the simulator's wire names none, so its doors keep their share
 }
 
@@ -106,7 +100,6 @@
 	Rate, Burst               float64 // units a second, units; rate 0: no such quota
 	Parallel                  int     // shots out at once; 0: no such quota
 	CeilingRate, CeilingBurst float64 // rate 0: no ceiling
-	UtilityFactor             float64
 	BeyondEarns, BeyondCosts  float64 // shares of the utility, for what is sent on beyond the quota
 }
 
@@ -132,7 +125,6 @@
 	FallMultiple   float64
 	FallSpan       int64
 	CrossZonePrice float64
-	QueueColumn    int // place of the waiting transactions in a load report; -1: not reported
 }
 
 // Door is what the decisions can do. Every call takes effect at once; none calls back.
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -11,9 +11,10 @@
 package policy
 
 import (
+	"cmp"
 	"fmt"
 	"math"
-	"sort"
+	"slices"
 
 	"fawnplank/internal/pcg"
 )
@@ -79,7 +80,8 @@
 	t.customer = g.customer(now, c, t.plan)
 	t.limit = now + max(left, 0)
 	t.promised = min(now+t.profile.Promised, t.limit)
-	t.place = ((g.terms.Me-first)%max(g.terms.Doors, 1) + max(g.terms.Doors, 1)) % max(g.terms.Doors, 1)
+	doors := max(g.terms.Doors, 1)
+	t.place = ((g.terms.Me-first)%doors + doors) % doors
 	if t.plan.CeilingRate > 0 {
 		if lacks := t.units - t.fillCeiling(now); lacks > 0 {
 			t.end(now, span(lacks*t.entries/t.plan.CeilingRate))
@@ -206,11 +208,8 @@
 const breakAt = 5
 
 func (g *Gate) mayCall(now int64) bool {
-	if !g.terms.Counter {
-		return false
-	}
 	if g.fails < breakAt {
-		return g.part >= 1 || g.chance.Float64() < g.part
+		return g.terms.Counter && (g.part >= 1 || g.chance.Float64() < g.part)
 	}
 	if g.trial || now < g.resume {
 		return false
@@ -219,15 +218,24 @@
 	return true
 }
 
-// called keeps the breaker.
+// called keeps the breaker, and the part of the transactions that call. Exception: a counter that answers only some
+// calls never trips the breaker, or trips it again and again when all doors call at once: each failure takes a
+// fifth off the part, each answer gives a fiftieth back, and after a trip the calls come back by halves. Covers
+// slow and crowded counters; hurts by going by the shares a little longer than must be.
 func (g *Gate) called(now int64, ok bool) {
+	switch {
+	case ok && g.fails >= breakAt:
+		g.part = 0.5
+	case ok:
+		g.part = min(g.part+0.02, 1)
+	case g.fails < breakAt:
+		g.part = max(g.part*0.8, 0.05)
+	}
 	g.trial = false
+	g.fails++
 	if ok {
-		g.fails, g.part = 0, min(g.part+0.02, 1)
-		return
+		g.fails = 0
 	}
-	g.fails++
-	g.part = max(g.part*0.8, 0.05)
 	// A second, with chance so that the doors do not try together: the post's ten would outlast most failures.
 	g.resume = now + sec + int64(g.chance.Float64()*float64(sec)/4)
 }
@@ -247,14 +255,9 @@
 		if k.waits {
 			k.answered(g, now, false, t.share(now))
 		}
-		if o == TimedOut && g.fails < breakAt {
-			// It was likely added late, by a slow counter that was not given up.
-			if !k.in {
-				c.owed -= k.units
-			}
-			return
+		if o != TimedOut || g.fails >= breakAt { // else it was likely added late, by a slow counter
+			c.owed += k.amount
 		}
-		c.owed += k.amount
 		if !k.in {
 			c.owed -= k.units
 		}
@@ -272,6 +275,8 @@
 			c.missing += c.heard
 		} else if c.missing > 0 && before-c.heard >= c.missing/2 { // another door put it right, as far as it knew
 			c.missing = max(c.known-before, 0)
+		} else if c.heard > 0 {
+			c.mine, c.others = 0.9*c.mine+k.amount, 0.9*c.others+max(before-c.heard, 0) // over about ten answers
 		}
 		c.missing = max(c.missing, refilled-before)
 		total += c.missing
@@ -293,6 +298,7 @@
 	if !k.in {
 		right -= k.units
 		total -= k.units
+		c.mine = max(c.mine-k.units, 0)
 	}
 	if k.start != c.start || now >= c.start+c.plan.window {
 		return
@@ -314,7 +320,7 @@
 		return false
 	}
 	c.drain(now, t.entries)
-	share := quota / t.entries
+	share := quota * c.part(t.entries)
 	if share < t.units && c.spent == 0 {
 		// The floor of one transaction a door adds up past small quotas: so many doors as the quota has room for
 		// hold it, and the window's name says which.
@@ -330,7 +336,15 @@
 
 // drain reckons what the door's share of the rate has refilled.
 func (c *customer) drain(now int64, entries float64) {
-	c.spent, c.at = max(c.spent-c.refilled(now, c.at)/entries, 0), now
+	c.spent, c.at = max(c.spent-c.refilled(now, c.at)*c.part(entries), 0), now
+}
+
+// part is the door's part of the customer's traffic: an even one to begin with. Exception: traffic is not
+// spread evenly, and what the counter told while it answered shows this door's part. Hurts when the spread
+// changes during a silence.
+func (c *customer) part(entries float64) float64 {
+	const even = 20 // units: twice what ten answers of one unit tell, so that chance does not pass for a part
+	return (c.mine + even/entries) / (c.mine + c.others + even)
 }
 
 // decide ends the wait for the counter; k is the call that was made, if any.
@@ -460,15 +474,11 @@
 
 // unharmed says whether it is proved that no shot ran.
 func (t *Transaction) unharmed() bool {
-	for i := range t.shots {
-		if t.shots[i].harmed {
-			return false
-		}
-	}
-	return true
+	return !slices.ContainsFunc(t.shots, func(s shot) bool { return s.harmed })
 }
 
-// early is how many first shots of a door tell the answer time of quiet moments: enough to average over chance.
+// early is how many first shots of a door tell the answer time of quiet moments: enough to average over
+// chance.
 const early = 30
 
 // shoot is the only place that sends.
@@ -529,9 +539,8 @@
 }
 
 // Settled tells how a shot ended. over says that the transaction is finished; trueUnits is what it really
-// counted, if that is told afterwards; queue is the backend's own report of waiting transactions, or below 0.
-func (t *Transaction) Settled(now int64, n ShotID, o Outcome, elapsed int64, over bool,
-	trueUnits, queue float64) {
+// counted, if that is told afterwards.
+func (t *Transaction) Settled(now int64, n ShotID, o Outcome, elapsed int64, over bool, trueUnits float64) {
 	if int(n) >= len(t.shots) || !t.shots[n].out {
 		return
 	}
@@ -540,7 +549,7 @@
 	t.out--
 	t.customer.out--
 	g.answers++
-	s.to.settled(g, now, s, o, elapsed, queue)
+	s.to.settled(g, now, s, o, elapsed)
 	if o == Fulfilled && g.terms.PostPaid && trueUnits > 0 && t.inside {
 		t.customer.owed += trueUnits - t.units // goes along with the next call
 		t.customer.spent += trueUnits - t.units
@@ -614,7 +623,7 @@
 	}
 	g.askAgain = 500 * ms
 	if how != Changes {
-		for _, b := range g.backends {
+		for _, b := range g.listed {
 			b.ready = false
 		}
 	}
@@ -623,11 +632,12 @@
 		if b == nil {
 			b = &backend{id: l.Backend, tie: g.chance.Uint64(), limit: 1, level: 1}
 			g.backends[l.Backend] = b
+			g.listed = append(g.listed, b)
 		}
 		if l.Started != b.started && l.Stage == Ready {
 			b.limit, b.level, b.late, b.strikes, b.errors, b.rest = 1, 1, 0, 0, 0, 0
 		}
-		b.zone, b.group, b.size, b.started, b.ready = l.Zone, l.Group, l.Size, l.Started, l.Stage == Ready
+		b.zone, b.group, b.started, b.ready = l.Zone, l.Group, l.Started, l.Stage == Ready
 	}
 	g.rank()
 	g.fill(now)
@@ -641,14 +651,11 @@
 func (g *Gate) rank() {
 	g.ranked = g.ranked[:0]
 	var sum, n float64
-	for _, b := range g.backends {
+	for _, b := range g.listed {
 		if b.ready {
 			g.ranked = append(g.ranked, b)
 		}
-	}
-	sort.Slice(g.ranked, func(i, j int) bool { return g.ranked[i].id < g.ranked[j].id })
-	for _, b := range g.ranked {
-		if b.late > 0 {
+		if b.ready && b.late > 0 {
 			sum, n = sum+1/b.late, n+1
 		}
 	}
@@ -656,23 +663,19 @@
 	if n > 0 {
 		g.usual = n / sum // the harmonic mean: a few stalled backends hardly move it
 	}
-	key := map[*backend]float64{}
 	for _, b := range g.ranked {
+		b.key = 0
 		if b.late > 0 {
 			b.late += 0.01 * (g.usual - b.late) // forgets in ten seconds
 			b.limit = min(max(g.usual/b.late, 0.25), 2)
-			key[b] = math.Round(2 * math.Log2(b.late/g.usual))
+			b.key = math.Round(2 * math.Log2(b.late/g.usual))
 		}
 		if g.terms.CrossZonePrice > 0 && b.zone != g.terms.Zone {
-			key[b] += 0.5
+			b.key += 0.5
 		}
 	}
-	sort.Slice(g.ranked, func(i, j int) bool {
-		a, b := g.ranked[i], g.ranked[j]
-		if key[a] != key[b] {
-			return key[a] < key[b]
-		}
-		return a.tie < b.tie || a.tie == b.tie && a.id < b.id
+	slices.SortFunc(g.ranked, func(a, b *backend) int {
+		return cmp.Or(cmp.Compare(a.key, b.key), cmp.Compare(a.tie, b.tie), cmp.Compare(a.id, b.id))
 	})
 }
 
@@ -708,7 +711,7 @@
 }
 
 // settled learns from how a shot ended.
-func (b *backend) settled(g *Gate, now int64, s *shot, o Outcome, elapsed int64, queue float64) {
+func (b *backend) settled(g *Gate, now int64, s *shot, o Outcome, elapsed int64) {
 	b.out--
 	switch o {
 	case Fulfilled:
@@ -775,11 +778,6 @@
 	}
 }
 
-// cold says whether the backend started too lately to do its full work.
-func (b *backend) cold(g *Gate, now int64) bool {
-	return b.started > 0 && now-b.started < g.terms.WarmUp
-}
-
 // trim forgets the shots before the span that a cold backend's budget is kept for. All are remembered, for a
 // start is told late.
 func (b *backend) trim(g *Gate, now int64) {
@@ -793,7 +791,7 @@
 // add safety. A door that has itself just started waits a span: its earlier life may have spent it.
 func (t *Transaction) coldRoom(now int64, b *backend) bool {
 	g := t.gate
-	if !b.cold(g, now) {
+	if b.started == 0 || now-b.started >= g.terms.WarmUp {
 		return true
 	}
 	if now-g.born < g.terms.FallSpan {
--- a/policy/state.go
+++ b/policy/state.go
@@ -39,7 +39,8 @@
 	woken     int64  // the time of the earliest wake asked for; 0: none
 	wakes     uint64 // its number
 	backends  map[BackendID]*backend
-	ranked    []*backend
+	listed    []*backend          // in the order they were first heard of
+	ranked    []*backend          // those that are ready, the best first
 	calls     map[CountID][]*call // unanswered, in the order they were made
 	customers map[CustomerID]*customer
 	held      []*Transaction // let in, waiting for room at a backend
@@ -70,6 +71,8 @@
 	lacks   int64   // since when the count was seen to lack much; 0: it does not
 	righted float64 // what was put right on the counter's numbers, all told
 	owed    float64 // units to be told with the next call: let in without the counter, or counted and not sent
+	mine    float64 // units told lately by this door
+	others  float64 // and by the others
 	spent   float64 // units let in here that the door's share has not refilled yet
 	at      int64   // when spent was last reckoned
 	out     int     // shots out
@@ -119,7 +122,6 @@
 	id          BackendID
 	zone        ZoneID
 	group       GroupID
-	size        float64
 	started     int64
 	ready       bool
 	out         int
@@ -130,7 +132,8 @@
 	strikes     int     // symptoms of illness since the last good answer
 	errors      int     // errors in a row
 	sends       []int64 // shots within the span of a cold backend's budget
-	tie         uint64
+	key         float64 // of its rank
+	tie         uint64  // this door's own order among equals
 }
 
 // at calls what at the time when, or soon after.
