Come-back advice beyond the quota follows the refill down to an eighth of a transaction

Cause: a try that lacked a little of a unit was told to wait for half of one; at small quotas it came back too late for its promised time.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -369,7 +369,7 @@
 	again := t.profile.Promised
 	if t.plan.Rate > 0 {
 		lacks := c.known + t.units - t.plan.quota - c.refilled(now, c.start)
-		again = span(max(lacks, t.units/2) / t.plan.Rate)
+		again = span(max(lacks, t.units/8) / t.plan.Rate)
 	}
 	if t.plan.BeyondEarns > t.plan.BeyondCosts && len(t.gate.held) == 0 {
 		if b := t.gate.pick(now, t); b != nil && b.load() <= 1 {
