Cold backends' budget by the quiet answer time

Cause: a transaction's work was taken for twice the usual answer, which in a crowded fleet is mostly waiting, so restarted backends got nothing until warm.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -787,8 +787,9 @@
 }
 
 // coldRoom keeps this door's part of what a cold backend bears in any span: half of it, since transactions
-// differ in work. The work is taken for one core's at the pace of the usual answer, twice, so more cores only
-// add safety. A door that has itself just started waits a span: its earlier life may have spent it.
+// differ in work, and at the pace of one core, so that more cores only add safety. A transaction's work is taken
+// for half as much again as the quiet answer time, for slower kinds. A door that has itself just started waits a
+// span: its earlier life may have spent it.
 func (t *Transaction) coldRoom(now int64, b *backend) bool {
 	g := t.gate
 	if b.started == 0 || now-b.started >= g.terms.WarmUp {
@@ -798,9 +799,9 @@
 		return false
 	}
 	b.trim(g, now)
-	work := g.usual * 2
-	if work == 0 {
-		work = float64(t.profile.Promised) / 2 // nothing measured yet: few promises are tighter
+	work := float64(t.profile.Promised) / 2 // nothing measured yet: few promises are tighter
+	if g.firsts >= early/2 {
+		work = g.quick * 1.5
 	}
 	age := float64(max(now-b.started-g.terms.FallSpan, 0)) / float64(max(g.terms.WarmUp, 1))
 	part := g.terms.ColdShare + (1-g.terms.ColdShare)*age
