--- a/policy/policy.go
+++ b/policy/policy.go
@@ -1,13 +1,12 @@
 // Package policy holds every decision of one front door. Its interface (ids, outcomes, terms, and the Door
-// that the decisions act through) is in api.go.
+// that the decisions act through) is in api.go; what they remember is laid out in state.go.
 //
 // How to call it: New makes a Gate from the terms; Backends feeds it the list. Take takes a transaction and
 // gives its handle; Settled, Started and Left are called on that handle. Counted, Probed and Wake bring the
 // answers of the counter, of probes and of the clock. Calls of one Gate come one at a time, in order of time.
-// What it remembers is laid out in state.go. Each transaction is counted on the counter under a short wait; a
-// breaker stops calling a counter that fails, and the front door's share of the quota decides instead. What
-// is let in goes to the first backend of a ranked order that is below its learned limit. Only
-// (*Transaction).shoot sends, and only end and Settled finish.
+// Each transaction is counted on the counter under a short wait; a breaker stops calling a counter that
+// fails, and the front door's share of the quota decides instead. What is let in goes to the first backend of
+// a ranked order that is below its limit. Only (*Transaction).shoot sends, and only end and Settled finish.
 package policy
 
 import (
@@ -134,9 +133,9 @@
 // door's start on: a door that was restarted cannot tell what its earlier life sent on. Guards rule 5 through
 // restarts and counter failures alike; it costs a customer of few doors the burst after a start.
 func (t *Transaction) fillCeiling(now int64) float64 {
-	c, p := t.customer, t.plan
-	filled := float64(now-c.filled) / float64(sec) * p.CeilingRate / t.entries
-	c.ceiling, c.filled = min(c.ceiling+filled, p.CeilingBurst/t.entries), now
+	c, part := t.customer, t.plan.CeilingRate/t.entries
+	c.ceiling += float64(now-c.filled) / float64(sec) * part
+	c.ceiling, c.filled = min(c.ceiling, t.plan.CeilingBurst/t.entries), now
 	return c.ceiling
 }
 
@@ -218,10 +217,10 @@
 	return true
 }
 
-// called keeps the breaker, and the part of the transactions that call. Exception: a counter that answers only some
-// calls never trips the breaker, or trips it again and again when all doors call at once: each failure takes a
-// fifth off the part, each answer gives a fiftieth back, and after a trip the calls come back by halves. Covers
-// slow and crowded counters; hurts by going by the shares a little longer than must be.
+// called keeps the breaker, and the part of the transactions that call. Exception: a counter that answers
+// only some calls never trips the breaker, or trips it again and again when all doors call at once: each
+// failure takes a fifth off the part, each answer gives a fiftieth back, and after a trip the calls come back
+// by halves. Covers slow and crowded counters; hurts by going by the shares a little longer than must be.
 func (g *Gate) called(now int64, ok bool) {
 	switch {
 	case ok && g.fails >= breakAt:
@@ -293,7 +292,11 @@
 		total += c.missing
 	}
 	if k.waits {
-		k.answered(g, now, true, total <= c.plan.quota+refilled+slop)
+		room := c.plan.quota + refilled - total
+		if c.others > 0 && total-k.amount > refilled+slop {
+			room -= min(c.plan.quota/8, k.units/4) // what other doors may know to be missing and leave so
+		}
+		k.answered(g, now, true, room+slop >= 0)
 	}
 	if !k.in {
 		right -= k.units
@@ -659,10 +662,7 @@
 			sum, n = sum+1/b.late, n+1
 		}
 	}
-	g.usual = 0
-	if n > 0 {
-		g.usual = n / sum // the harmonic mean: a few stalled backends hardly move it
-	}
+	g.usual = n / max(sum, 1e-30) // the harmonic mean: a few stalled backends hardly move it
 	for _, b := range g.ranked {
 		b.key = 0
 		if b.late > 0 {
@@ -767,13 +767,12 @@
 // Probed brings a probe's answer: a good one lets a single shot try the backend.
 func (g *Gate) Probed(now int64, id BackendID, o Outcome) {
 	b := g.backends[id]
-	if b == nil || b.strikes == 0 {
-		return
-	}
-	if o == Fulfilled {
+	switch {
+	case b == nil || b.strikes == 0:
+	case o == Fulfilled:
 		b.rest = now
 		g.fill(now)
-	} else {
+	default:
 		b.strike(g, now)
 	}
 }
@@ -787,9 +786,9 @@
 }
 
 // coldRoom keeps this door's part of what a cold backend bears in any span: half of it, since transactions
-// differ in work, and at the pace of one core, so that more cores only add safety. A transaction's work is taken
-// for half as much again as the quiet answer time, for slower kinds. A door that has itself just started waits a
-// span: its earlier life may have spent it.
+// differ in work, and at the pace of one core, so that more cores only add safety. A transaction's work is
+// taken for half as much again as the quiet answer time, for slower kinds. A door that has itself just
+// started waits a span: its earlier life may have spent it.
 func (t *Transaction) coldRoom(now int64, b *backend) bool {
 	g := t.gate
 	if b.started == 0 || now-b.started >= g.terms.WarmUp {
