--- a/policy/policy.go
+++ b/policy/policy.go
@@ -47,15 +47,12 @@
 	return g
 }
 
-// span turns seconds into a time that later sums cannot overflow, whatever a plan's figures are.
-func span(seconds float64) int64 { return int64(min(max(seconds, 0), 1e8) * float64(sec)) }
-
 // tick is the periodic work. A tenth of a second gives even slow doors an answer or two between two orders.
 func (g *Gate) tick(now int64) {
 	const period = 100 * ms
 	g.pace += 0.1 * (float64(g.answers)*float64(sec/period) - g.pace)
 	g.answers = 0
-	g.rank()
+	g.rank(now)
 	if g.firsts >= early/2 && g.usual > 0 {
 		// Falls with a quicker fleet in a second, and rises with a slower one in about a minute.
 		g.quick += 0.002*(g.usual-g.quick) + 0.1*min(g.usual-g.quick, 0)
@@ -89,11 +86,12 @@
 		t.customer.ceiling -= t.units
 		t.drawn = t.units
 	}
-	if t.plan.Parallel > 0 && t.customer.out >= max(t.plan.Parallel/int(t.entries), 1) {
+	switch {
+	case t.plan.Parallel > 0 && t.customer.out >= max(t.plan.Parallel/int(t.entries), 1):
 		t.beyond(now)
-	} else if t.plan.Rate <= 0 {
+	case t.plan.Rate <= 0:
 		t.letIn(now, true)
-	} else {
+	default:
 		t.ask(now)
 	}
 	return t
@@ -121,9 +119,9 @@
 		rest = max(rest, span(c.plan.CeilingBurst/c.plan.CeilingRate))
 	}
 	g.at(now+rest, func(now int64) {
-		if c.out == 0 && now-max(c.at, c.filled) >= rest {
-			delete(g.customers, c.id)
-		} else {
+		delete(g.customers, c.id)
+		if c.out > 0 || now-max(c.at, c.filled) < rest {
+			g.customers[c.id] = c
 			g.forget(now, c)
 		}
 	})
@@ -241,15 +239,14 @@
 
 // Counted brings the answer to the oldest unanswered call for the count.
 func (g *Gate) Counted(now int64, o Outcome, name CountID, total float64) {
-	if len(g.calls[name]) == 0 {
+	line := g.calls[name]
+	if len(line) == 0 {
 		return
 	}
-	k := g.calls[name][0]
-	g.calls[name] = g.calls[name][1:]
-	if len(g.calls[name]) == 0 {
+	k, c, t := line[0], line[0].c, line[0].t
+	if g.calls[name] = line[1:]; len(line) == 1 {
 		delete(g.calls, name)
 	}
-	c, t := k.c, k.t
 	if o != Fulfilled {
 		if k.waits {
 			k.answered(g, now, false, t.share(now))
@@ -353,13 +350,13 @@
 // decide ends the wait for the counter; k is the call that was made, if any.
 func (t *Transaction) decide(now int64, in bool, k *call) {
 	t.asking = false
-	if !in {
+	switch {
+	case !in:
 		t.beyond(now)
 		return
-	}
-	if k != nil {
+	case k != nil:
 		k.in = true
-	} else {
+	default:
 		t.customer.owed += t.units
 	}
 	t.letIn(now, true)
@@ -422,7 +419,7 @@
 	if t.profile.LateUtility > 0 {
 		return t.limit - ms
 	}
-	return t.promised - t.profile.Promised/10
+	return t.promised - t.profile.Promised/10 // the quickest answers take about that
 }
 
 // fill gives held transactions the room that there is now.
@@ -642,16 +639,16 @@
 		}
 		b.zone, b.group, b.started, b.ready = l.Zone, l.Group, l.Started, l.Stage == Ready
 	}
-	g.rank()
+	g.rank(now)
 	g.fill(now)
 }
 
 // rank renews the order of the backends: the quicker first, by steps of about 40%, since finer differences
 // are chance; then those of the own zone where crossing has a price; then in an order of this door's own, so
 // that the doors do not crowd the same ones. The limits follow the answer times against the usual one: a
-// backend that is slow, for whatever reason, is filled less, and drifts back to the usual while it is not
-// heard.
-func (g *Gate) rank() {
+// backend that is slow, for whatever reason, is filled less, and goes back to its own good answer time while
+// it is not heard: else a jam that has passed would shut it out for long.
+func (g *Gate) rank(now int64) {
 	g.ranked = g.ranked[:0]
 	var sum, n float64
 	for _, b := range g.listed {
@@ -666,7 +663,9 @@
 	for _, b := range g.ranked {
 		b.key = 0
 		if b.late > 0 {
-			b.late += 0.01 * (g.usual - b.late) // forgets in ten seconds
+			if now-b.heard > sec { // not heard for a second: a jam is forgotten in three
+				b.late += 0.03 * (b.best - b.late)
+			}
 			b.limit = min(max(g.usual/b.late, 0.25), 2)
 			b.key = math.Round(2 * math.Log2(b.late/g.usual))
 		}
@@ -721,21 +720,20 @@
 			g.quick += (float64(elapsed) - g.quick) / g.firsts
 		}
 		b.measure(float64(elapsed), s.level)
-	case Errored:
+	case Errored, Rejected:
 		b.heard = now
 		b.errors++
-		if b.errors >= 3 { // rare single errors are normal
+		if b.errors >= 3 && now >= b.rest { // rare single errors are normal, and so are full lines
 			b.strike(g, now)
+		} else if o == Rejected {
+			b.rest = max(b.rest, now+50*ms) // about what a full line takes to move on
 		}
-	case Rejected:
-		b.heard = now
-		b.rest = max(b.rest, now+50*ms) // about what a full line takes to move on
 	case Unreached, CutOff:
 		if now >= b.rest {
 			b.strike(g, now)
 		}
-	case TimedOut, Recalled:
-		if b.late > 0 && float64(elapsed) > b.late { // it would have taken longer still
+	case TimedOut, Recalled: // it would have taken longer still
+		if b.late > 0 && float64(elapsed) > b.late {
 			b.measure(float64(elapsed), s.level)
 		}
 	}
@@ -744,10 +742,11 @@
 // measure smooths the answer time over about ten answers.
 func (b *backend) measure(took, level float64) {
 	if b.late == 0 {
-		b.late, b.level = took, level
+		b.late, b.level, b.best = took, level, took
 	}
 	b.late += 0.1 * (took - b.late)
 	b.level += 0.1 * (level - b.level)
+	b.best = min(b.best+0.01*(b.late-b.best), b.late)
 }
 
 // strike eases a backend out for a while that doubles with each symptom, and has it probed before its return.
@@ -777,18 +776,11 @@
 	}
 }
 
-// trim forgets the shots before the span that a cold backend's budget is kept for. All are remembered, for a
-// start is told late.
-func (b *backend) trim(g *Gate, now int64) {
-	for len(b.sends) > 0 && b.sends[0] <= now-g.terms.FallSpan {
-		b.sends = b.sends[1:]
-	}
-}
-
 // coldRoom keeps this door's part of what a cold backend bears in any span: half of it, since transactions
 // differ in work, and at the pace of one core, so that more cores only add safety. A transaction's work is
-// taken for half as much again as the quiet answer time, for slower kinds. A door that has itself just
-// started waits a span: its earlier life may have spent it.
+// taken for half as much again as the quiet answer time, for slower kinds. Where it bears fewer shots than
+// there are doors, so many doors send it one each, told by its id. A door that has itself just started waits
+// a span: its earlier life may have spent it.
 func (t *Transaction) coldRoom(now int64, b *backend) bool {
 	g := t.gate
 	if b.started == 0 || now-b.started >= g.terms.WarmUp {
@@ -804,6 +796,10 @@
 	}
 	age := float64(max(now-b.started-g.terms.FallSpan, 0)) / float64(max(g.terms.WarmUp, 1))
 	part := g.terms.ColdShare + (1-g.terms.ColdShare)*age
-	room := g.terms.FallMultiple * part * float64(g.terms.FallSpan) / float64(max(g.terms.Doors, 1)) / 2
-	return float64(len(b.sends)+1)*work <= room
+	shots := uint64(g.terms.FallMultiple * part * float64(g.terms.FallSpan) / 2 / max(work, 1))
+	doors := uint64(max(g.terms.Doors, 1))
+	if place := (mix(uint64(b.id)) + uint64(g.terms.Me)) % doors; place < shots%doors {
+		shots += doors // this door has one of those left over
+	}
+	return uint64(len(b.sends)) < shots/doors
 }
--- a/policy/state.go
+++ b/policy/state.go
@@ -127,6 +127,7 @@
 	out         int
 	limit       float64 // shots out up to which it is filled in its turn
 	late, level float64 // smoothed answer time, 0: unknown; and shots out while it was measured
+	best        float64 // answer time in its good moments
 	heard       int64   // when it last answered
 	rest        int64   // no shots before
 	strikes     int     // symptoms of illness since the last good answer
@@ -179,3 +180,14 @@
 	x = (x ^ x>>27) * 0x94d049bb133111eb
 	return x ^ x>>31
 }
+
+// trim forgets the shots before the span that a cold backend's budget is kept for. All are remembered, for a
+// start is told late.
+func (b *backend) trim(g *Gate, now int64) {
+	for len(b.sends) > 0 && b.sends[0] <= now-g.terms.FallSpan {
+		b.sends = b.sends[1:]
+	}
+}
+
+// span turns seconds into a time that later sums cannot overflow, whatever a plan's figures are.
+func span(seconds float64) int64 { return int64(min(max(seconds, 0), 1e8) * float64(sec)) }
