--- a/policy/policy.go
+++ b/policy/policy.go
@@ -681,8 +681,11 @@
 // load is how full one more shot would make the backend, as a share of its limit.
 func (b *backend) load() float64 { return float64(b.out+1) / b.limit }
 
-// pick gives the first backend in the order that is below its limit; with none, the least loaded that can
-// still answer within half of the promised time left. It avoids those the transaction has tried.
+// pick gives the first backend in the order that is below its limit, with none the least loaded; of those only
+// that will likely answer within a third of the promised time left (few answers take three times the likely) and
+// within twice the quiet answer time. The latter guards against backends that do less when they are held full,
+// and against many doors each below its limit; it hurts where the first shots met a jam, or a fleet gets slower.
+// It avoids those that the transaction has tried.
 func (g *Gate) pick(now int64, t *Transaction) *backend {
 	var best *backend
 	least, most := math.Inf(1), float64(t.promised-now)/3
@@ -699,10 +702,13 @@
 				load += 2
 			}
 		}
+		if b.late*float64(b.out+1)/b.level > most {
+			continue
+		}
 		if load <= 1 {
 			return b
 		}
-		if load < least && b.late*float64(b.out+1)/b.level < most {
+		if load < least {
 			best, least = b, load
 		}
 	}
