--- a/policy/policy.go
+++ b/policy/policy.go
@@ -521,11 +521,9 @@
 	if t.out > 1 || now >= t.lastCall() || !t.harmless() {
 		return
 	}
-	if g.terms.SecondCopies {
-		if b := g.pick(now, t); b != nil && b != s.to {
-			t.shoot(now, b)
-		}
-	} else if g.terms.Recalls && len(t.shots) < g.terms.MostShots {
+	if b := g.pick(now, t); g.terms.SecondCopies && b != nil && b != s.to {
+		t.shoot(now, b)
+	} else if !g.terms.SecondCopies && g.terms.Recalls && len(t.shots) < g.terms.MostShots {
 		g.door.Recall(t.id, ShotID(n))
 	}
 }
@@ -738,9 +736,9 @@
 		if now >= b.rest {
 			b.strike(g, now)
 		}
-	case TimedOut, Recalled: // it would have taken longer still
+	case TimedOut, Recalled: // it would have taken longer, but a lost one says little of the others
 		if b.late > 0 && float64(elapsed) > b.late {
-			b.measure(float64(elapsed), s.level)
+			b.measure(min(float64(elapsed), 2*b.late), s.level)
 		}
 	}
 }
