--- a/policy/policy.go
+++ b/policy/policy.go
@@ -679,11 +679,11 @@
 // load is how full one more shot would make the backend, as a share of its limit.
 func (b *backend) load() float64 { return float64(b.out+1) / b.limit }
 
-// pick gives the first backend in the order that is below its limit, with none the least loaded; of those only
-// that will likely answer within a third of the promised time left (few answers take three times the likely) and
-// within twice the quiet answer time. The latter guards against backends that do less when they are held full,
-// and against many doors each below its limit; it hurts where the first shots met a jam, or a fleet gets slower.
-// It avoids those that the transaction has tried.
+// pick gives the first backend in the order that is below its limit, with none the least loaded; of those
+// only that will likely answer within a third of the promised time left (few answers take three times the
+// likely) and within twice the quiet answer time. The latter guards against backends that do less when they
+// are held full, and against many doors each below its limit; it hurts where the first shots met a jam, or a
+// fleet gets slower. It avoids those that the transaction has tried.
 func (g *Gate) pick(now int64, t *Transaction) *backend {
 	var best *backend
 	least, most := math.Inf(1), float64(t.promised-now)/3
@@ -800,7 +800,7 @@
 	}
 	age := float64(max(now-b.started-g.terms.FallSpan, 0)) / float64(max(g.terms.WarmUp, 1))
 	part := g.terms.ColdShare + (1-g.terms.ColdShare)*age
-	shots := uint64(g.terms.FallMultiple * part * float64(g.terms.FallSpan) / 2 / max(work, 1))
+	shots := uint64(min(max(g.terms.FallMultiple*part*float64(g.terms.FallSpan)/2/max(work, 1), 0), 1e9))
 	doors := uint64(max(g.terms.Doors, 1))
 	if place := (mix(uint64(b.id)) + uint64(g.terms.Me)) % doors; place < shots%doors {
 		shots += doors // this door has one of those left over
