Tighten the bound by answer times to half as much again as in quiet moments

The bound now is one and a half times the longer of the fleet's quiet and the backend's own good answer time.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -216,9 +216,9 @@
 }
 
 // called keeps the breaker, and the part of the transactions that call. Exception: a counter that answers
-// only some calls never trips the breaker, or trips it again and again when all doors call at once: each
-// failure takes a fifth off the part, each answer gives a fiftieth back, and after a trip the calls come back
-// by halves. Covers slow and crowded counters; hurts by going by the shares a little longer than must be.
+// only some calls never trips the breaker, or trips it again and again: each failure takes a fifth off the
+// part, each answer gives a fiftieth back, and after a trip the calls come back by halves. Covers slow and
+// crowded counters; hurts by going by the shares a little longer than must be.
 func (g *Gate) called(now int64, ok bool) {
 	switch {
 	case ok && g.fails >= breakAt:
@@ -507,9 +507,9 @@
 	return true
 }
 
-// look asks whether a shot that takes long is stalled: its backend has answered nothing since. Guards against
-// backends that hang, stand still or are cut off, whatever the cause. Hurts when a transaction is merely long
-// and its backend has no other traffic from this door: work is done twice.
+// look asks whether a shot that takes long is stalled: its backend has answered nothing since. Guards
+// against backends that hang, stand still or are cut off. Hurts when a transaction is merely long and its
+// backend has no other traffic from this door: work is done twice.
 func (t *Transaction) look(now int64, n int) {
 	s, g := &t.shots[n], t.gate
 	if !s.out || t.over || t.started || s.to.heard > s.sent {
@@ -680,16 +680,12 @@
 func (b *backend) load() float64 { return float64(b.out+1) / b.limit }
 
 // pick gives the first backend in the order that is below its limit, with none the least loaded; of those
-// only that will likely answer within a third of the promised time left (few answers take three times the
-// likely) and within twice the quiet answer time. The latter guards against backends that do less when they
-// are held full, and against many doors each below its limit; it hurts where the first shots met a jam, or a
-// fleet gets slower. It avoids those that the transaction has tried.
+// only that likely answer within a third of the promised time left (few answers take three times the likely)
+// and half as much again as in quiet moments. The latter guards against backends that do less when held full
+// and against many doors each below its limit; it hurts where a door starts in a jam. Tried ones come last.
 func (g *Gate) pick(now int64, t *Transaction) *backend {
 	var best *backend
-	least, most := math.Inf(1), float64(t.promised-now)/3
-	if g.firsts >= early/2 {
-		most = min(most, 2*g.quick)
-	}
+	least := math.Inf(1)
 	for _, b := range g.ranked {
 		if now < b.rest || b.strikes > 0 && b.out > 0 || !t.allowed(now, b) {
 			continue
@@ -700,6 +696,10 @@
 				load += 2
 			}
 		}
+		most := float64(t.promised-now) / 3
+		if g.firsts >= early/2 {
+			most = min(most, 1.5*max(g.quick, b.best))
+		}
 		if b.late*float64(b.out+1)/b.level > most {
 			continue
 		}
