Shares under a transaction by chance, a thinned counter, and shots spread over large fleets

Cause, at the grown size: a door's share of a quota is a fraction of a transaction, so that nearly all tries were dismissed with half of the quota unused; second calls and carried counts crowded a counter that takes a third of the tries; windows reckoned against the refill granted fresh bursts to doors that had not seen the last window; and each door filled the same few backends by answer times it had measured once.

Changes: where the share is a fraction, it is given by chance, as often as the counter let the customer or the plan in. A call while the counter is crowded stands for those not made. Where a customer's doors outnumber a window's units the plain window count of the design holds. Backends are ranked by answer times shrunk to those of their kind, then by the time since they were last sent to and their size. A cold backend's shots go to the doors in turn.

--- a/cmd/drill/host.go
+++ b/cmd/drill/host.go
@@ -238,10 +238,10 @@
 	for n := range list {
 		l := &list[n]
 		l.Backend, l.Zone = policy.BackendID(f.U32()), policy.ZoneID(f.U16())
-		f.U8() // kind: the decisions go by what is measured
+		l.Kind = policy.KindID(f.U8())
 		l.Group = policy.GroupID(f.U16())
 		state := f.U8()
-		f.F32() // size: likewise
+		l.Size = f.F32()
 		l.Started = ns(f.F64())
 		stage, ok := stages[state]
 		if !ok && d != nil {
--- a/policy/desk_test.go
+++ b/policy/desk_test.go
@@ -75,6 +75,9 @@
 		}
 	}
 	for _, l := range list {
+		if l.Started != d.state[l.Backend].Started {
+			d.sends[l.Backend] = nil // rule 4 counts what is sent by those that were told
+		}
 		d.state[l.Backend] = l
 	}
 	d.g.Backends(d.now, how, list)
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -24,10 +24,11 @@
 // New starts the decisions of a front door.
 func New(now int64, seed uint64, terms Terms, door Door) *Gate {
 	g := &Gate{door: door, terms: terms, chance: pcg.New(seed), born: now, backends: map[BackendID]*backend{},
-		calls: map[CountID][]*call{}, customers: map[CustomerID]*customer{}, askAgain: 500 * ms, part: 1}
+		calls: map[CountID][]*call{}, kinds: map[KindID]*mean{}, customers: map[CustomerID]*customer{},
+		askAgain: 500 * ms, part: 1}
 	for _, p := range terms.Profiles {
-		// A twentieth of the promised time: the post's 45 of 300 ms is dear where the calls wait in line. Four
-		// fifths of the counter's own limit keep the wait below it.
+		// A twentieth of the promised time: the post's 45 of 300 ms is dear where the calls wait in line.
+		// Four fifths of the counter's own limit keep the wait below it.
 		wait := max(min(p.Promised/20, terms.CounterTimeout*4/5), ms)
 		g.profiles = append(g.profiles, profile{p, wait})
 	}
@@ -50,14 +51,17 @@
 // tick is the periodic work. A tenth of a second gives even slow doors an answer or two between two orders.
 func (g *Gate) tick(now int64) {
 	const period = 100 * ms
-	g.pace += 0.1 * (float64(g.answers)*float64(sec/period) - g.pace)
-	g.answers = 0
-	g.rank(now)
-	if g.firsts >= early/2 && g.usual > 0 {
+	if g.firsts >= early/2 {
 		// Falls with a quicker fleet in a second, and rises with a slower one in about a minute.
-		g.quick += 0.002*(g.usual-g.quick) + 0.1*min(g.usual-g.quick, 0)
+		g.quick += 0.002*(g.all.value-g.quick) + 0.1*min(g.all.value-g.quick, 0)
+		if now-g.heard > sec { // nothing heard for a second: a jam is forgotten in three
+			g.all.value += 0.03 * min(g.quick-g.all.value, 0)
+		}
 	}
-	g.fill(now)
+	for _, b := range g.listed {
+		b.pace.count *= 0.98 // what is known of a single backend fades in five seconds
+	}
+	g.rank(now)
 	g.door.Wake(now+period, markTick)
 }
 
@@ -73,7 +77,7 @@
 		return t
 	}
 	t.profile, t.plan = &g.profiles[pr], &g.plans[pl]
-	t.customer = g.customer(now, c, t.plan)
+	t.customer = g.customer(now, c, t.plan, t.entries)
 	t.limit = now + max(left, 0)
 	t.promised = min(now+t.profile.Promised, t.limit)
 	doors := max(g.terms.Doors, 1)
@@ -97,7 +101,7 @@
 	return t
 }
 
-func (g *Gate) customer(now int64, id CustomerID, p *plan) *customer {
+func (g *Gate) customer(now int64, id CustomerID, p *plan, entries float64) *customer {
 	c := g.customers[id]
 	if c == nil {
 		c = &customer{id: id, plan: p, filled: g.born, at: now}
@@ -107,6 +111,7 @@
 	if c.plan != p {
 		c.plan, c.name, c.known, c.owed = p, 0, 0, 0
 	}
+	c.close = p.quota >= entries
 	c.turn(now)
 	return c
 }
@@ -149,13 +154,21 @@
 	shifted := now + int64(own%uint64(w))
 	start := now - shifted%w
 	c.known = max(c.known+c.owed-c.plan.Rate*float64(start-c.start)/float64(sec), 0)
+	if !c.close {
+		c.known = 0
+	}
 	c.owed = 0 // what a long silence left owing has been refilled since, but for what is carried
 	c.missing, c.heard, c.righted, c.lacks = c.known, 0, 0, 0
 	c.start, c.name = start, CountID(mix(own+uint64(shifted/w)))
 }
 
-// refilled is what the rate has given since the window's start.
+// refilled is what the rate has given since the window's start. Where a customer's doors outnumber the units
+// of a window, few of them see two windows in a row, none knows what is to be carried, and the plain count of
+// the design holds: all tries, against the quota, afresh each window.
 func (c *customer) refilled(now, start int64) float64 {
+	if !c.close {
+		return 0
+	}
 	return c.plan.Rate * float64(now-start) / float64(sec)
 }
 
@@ -163,6 +176,7 @@
 func (t *Transaction) ask(now int64) {
 	g, c := t.gate, t.customer
 	if c.known+t.units > c.plan.quota+c.refilled(now, c.start)+slop {
+		c.learn(0)
 		t.beyond(now) // spent as far as is known: no call can say otherwise
 		return
 	}
@@ -171,7 +185,8 @@
 		return
 	}
 	t.asking = true
-	k := g.count(now, c, t, t.units+c.owed)
+	// A crowded counter hears of a part of the transactions only: each stands for the others too.
+	k := g.count(now, c, t, t.units/max(g.part, 0.2), c.owed)
 	c.owed = 0
 	g.at(now+min(t.profile.wait, (t.limit-now)/2), func(now int64) {
 		if k.waits {
@@ -191,13 +206,11 @@
 }
 
 // count calls the counter.
-func (g *Gate) count(now int64, c *customer, t *Transaction, amount float64) *call {
-	k := &call{c: c, t: t, start: c.start, amount: amount, righted: c.righted, waits: t != nil}
-	if t != nil {
-		k.units = t.units
-	}
+func (g *Gate) count(now int64, c *customer, t *Transaction, units, more float64) *call {
+	k := &call{c: c, t: t, start: c.start, amount: units + more, units: units, righted: c.righted,
+		waits: t != nil}
 	g.calls[c.name] = append(g.calls[c.name], k)
-	g.door.Count(c.name, amount, min(c.start+2*c.plan.window-now+sec, 60*sec))
+	g.door.Count(c.name, k.amount, min(c.start+2*c.plan.window-now+sec, 60*sec))
 	return k
 }
 
@@ -233,7 +246,8 @@
 	if ok {
 		g.fails = 0
 	}
-	// A second, with chance so that the doors do not try together: the post's ten would outlast most failures.
+	// A second, with chance so that the doors do not try together: the post's ten would outlast most
+	// failures.
 	g.resume = now + sec + int64(g.chance.Float64()*float64(sec)/4)
 }
 
@@ -254,15 +268,15 @@
 		if o != TimedOut || g.fails >= breakAt { // else it was likely added late, by a slow counter
 			c.owed += k.amount
 		}
-		if !k.in {
+		if !k.in && c.close {
 			c.owed -= k.units
 		}
 		return
 	}
 	// The total lacks what the burst cannot hold of the refill, what the last window left used, and what a
 	// counter lost that came back empty. Each door reckons with what is missing as far as it knows. The
-	// customer's doors put it right in an order of the window's own, each only if it is still missing when the
-	// ones before had the time: two at once would count it twice and shut the customer out.
+	// customer's doors put it right in an order of the window's own, each only if it is still missing when
+	// the ones before had the time: two at once would count it twice and shut the customer out.
 	total += c.righted - k.righted // what was put right since the call went out
 	before, refilled := total-k.amount, c.refilled(now, k.start)
 	var right float64
@@ -289,13 +303,11 @@
 		total += c.missing
 	}
 	if k.waits {
-		room := c.plan.quota + refilled - total
-		if c.others > 0 && total-k.amount > refilled+slop {
-			room -= min(c.plan.quota/8, k.units/4) // what other doors may know to be missing and leave so
-		}
+		room := c.plan.quota + refilled - total + k.units - t.units
 		k.answered(g, now, true, room+slop >= 0)
+		c.learn(min(max(room+t.units, 0)/t.units, 1))
 	}
-	if !k.in {
+	if !k.in && c.close {
 		right -= k.units
 		total -= k.units
 		c.mine = max(c.mine-k.units, 0)
@@ -306,7 +318,7 @@
 	c.known, c.heard = total, total-c.missing
 	if math.Abs(right) > slop {
 		c.righted += right
-		g.count(now, c, nil, right)
+		g.count(now, c, nil, 0, right)
 	}
 }
 
@@ -319,14 +331,31 @@
 	case DismissAll:
 		return false
 	}
-	c.drain(now, t.entries)
-	share := quota * c.part(t.entries)
-	if share < t.units && c.spent == 0 {
-		// The floor of one transaction a door adds up past small quotas: so many doors as the quota has room for
-		// hold it, and the window's name says which.
-		return float64(c.turnOf(t)+1)*t.units <= quota+slop
+	share := t.allowance(now)
+	if c.spent+t.units > share+slop {
+		return false
 	}
-	return c.spent+t.units <= share+slop
+	// The floor of one transaction a door adds up past small quotas: where the share is a fraction of one, it
+	// is given by chance, as often as the counter let the customer in while it answered; for want of that as
+	// often as it let in the plan, and for want of both by the fraction.
+	part := quota * c.part(t.entries) / t.units
+	return part+slop >= 1 || t.gate.chance.Float64() < c.granted.blend(t.plan.granted.blend(part, 1), 1)
+}
+
+// learn notes what part of a transaction the count let in.
+func (c *customer) learn(in float64) {
+	c.granted.add(in, 4) // few: customers change in seconds
+	c.plan.granted.add(in, 50)
+}
+
+// allowance is the door's share of a window, at least the transaction's units, and reckons what of it has
+// been refilled.
+func (t *Transaction) allowance(now int64) float64 {
+	c := t.customer
+	share := max(t.plan.quota*c.part(t.entries), t.units)
+	c.spent = max(c.spent-share*float64(now-c.at)/float64(t.plan.window), 0)
+	c.at = now
+	return share
 }
 
 // turnOf is a door's turn among a customer's entry points, in an order that the window's name gives.
@@ -334,11 +363,6 @@
 	return (t.place + int(uint64(c.name)%1024)) % int(t.entries)
 }
 
-// drain reckons what the door's share of the rate has refilled.
-func (c *customer) drain(now int64, entries float64) {
-	c.spent, c.at = max(c.spent-c.refilled(now, c.at)*c.part(entries), 0), now
-}
-
 // part is the door's part of the customer's traffic: an even one to begin with. Exception: traffic is not
 // spread evenly, and what the counter told while it answered shows this door's part. Hurts when the spread
 // changes during a silence.
@@ -349,6 +373,7 @@
 
 // decide ends the wait for the counter; k is the call that was made, if any.
 func (t *Transaction) decide(now int64, in bool, k *call) {
+	g := t.gate
 	t.asking = false
 	switch {
 	case !in:
@@ -356,7 +381,7 @@
 		return
 	case k != nil:
 		k.in = true
-	default:
+	case g.fails >= breakAt || !g.terms.Counter: // else the calls that are made stand for it
 		t.customer.owed += t.units
 	}
 	t.letIn(now, true)
@@ -371,7 +396,7 @@
 		lacks := c.known + t.units - t.plan.quota - c.refilled(now, c.start)
 		again = span(max(lacks, t.units/8) / t.plan.Rate)
 	}
-	if t.plan.BeyondEarns > t.plan.BeyondCosts && len(t.gate.held) == 0 {
+	if t.plan.BeyondEarns > t.plan.BeyondCosts {
 		if b := t.gate.pick(now, t); b != nil && b.load() <= 1 {
 			t.letIn(now, false)
 			return
@@ -384,34 +409,18 @@
 func (t *Transaction) letIn(now int64, inside bool) {
 	t.inside = inside
 	if inside && t.plan.Rate > 0 {
-		t.customer.drain(now, t.entries)
+		t.allowance(now)
 		t.customer.spent += t.units
 	}
 	t.send(now)
 }
 
-// send sends a shot to the best backend, or holds the transaction for room, or gives it up.
+// send sends a shot to the best backend, or gives the transaction up: waiting for room gains nothing, since
+// the client may find it at another door.
 func (t *Transaction) send(now int64) {
-	g := t.gate
-	if b := g.pick(now, t); b != nil && t.shoot(now, b) {
-		return
-	}
-	// Only as many are held as the pace of answers takes up within a fifth of the promised time, and none that
-	// has few backends to wait for, since a shot of it may have run.
-	most := int(g.pace*float64(t.profile.Promised)/float64(sec)/5) + 4
-	last := min(t.lastCall(), t.promised)
-	if len(g.held) >= most || now >= last || len(t.shots) >= g.terms.MostShots ||
-		t.profile.Effect != Reissuable && !t.unharmed() {
-		t.end(now, t.profile.Promised/8)
-		return
+	if b := t.gate.pick(now, t); b == nil || !t.shoot(now, b) {
+		t.end(now, t.profile.Promised/8) // early enough for another try within the promised time
 	}
-	t.waiting = true
-	g.held = append(g.held, t)
-	g.at(last, func(now int64) {
-		if t.waiting {
-			t.end(now, t.profile.Promised/8)
-		}
-	})
 }
 
 // lastCall is the latest time at which a shot is still worth sending.
@@ -422,23 +431,6 @@
 	return t.promised - t.profile.Promised/10 // the quickest answers take about that
 }
 
-// fill gives held transactions the room that there is now.
-func (g *Gate) fill(now int64) {
-	held := g.held[:0]
-	for _, t := range g.held {
-		if !t.waiting {
-			continue
-		}
-		if b := g.pick(now, t); b != nil {
-			t.waiting = false
-			t.shoot(now, b)
-		} else {
-			held = append(held, t)
-		}
-	}
-	g.held = held
-}
-
 // allowed says whether a shot may go to b: the one gate of rules 1 to 4.
 func (t *Transaction) allowed(now int64, b *backend) bool {
 	g := t.gate
@@ -493,10 +485,10 @@
 	b.out++
 	t.shots[n].level, t.shots[n].early = float64(b.out), g.sent < early
 	g.sent++
-	b.trim(g, now)
-	b.sends = append(b.sends, now)
-	// Few answers take six times the usual; more than seven tenths would leave too little time for another shot.
-	patience := min(max(int64(6*g.usual), t.profile.Promised*4/10), t.profile.Promised*7/10)
+	b.sent = now
+	// Few answers take six times the usual; more than seven tenths would leave too little time for another
+	// shot.
+	patience := min(max(int64(6*g.all.value), t.profile.Promised*4/10), t.profile.Promised*7/10)
 	var expire int64
 	if !g.terms.SecondCopies && !g.terms.Recalls && t.profile.Effect != AtMostOnce &&
 		len(t.shots) < g.terms.MostShots {
@@ -546,7 +538,6 @@
 	s.out, s.harmed = false, o != Rejected && o != Unreached && o != Moot
 	t.out--
 	t.customer.out--
-	g.answers++
 	s.to.settled(g, now, s, o, elapsed)
 	if o == Fulfilled && g.terms.PostPaid && trueUnits > 0 && t.inside {
 		t.customer.owed += trueUnits - t.units // goes along with the next call
@@ -562,7 +553,6 @@
 	default:
 		t.send(now)
 	}
-	g.fill(now)
 }
 
 // Left tells that the client is gone: no answer is owed any more.
@@ -597,7 +587,7 @@
 
 // finish marks a transaction as answered and gives back what it did not use.
 func (t *Transaction) finish() {
-	t.over, t.waiting, t.asking = true, false, false
+	t.over, t.asking = true, false
 	if len(t.shots) == 0 {
 		t.customer.ceiling += t.drawn
 		if t.inside {
@@ -628,51 +618,50 @@
 	for _, l := range list {
 		b := g.backends[l.Backend]
 		if b == nil {
-			b = &backend{id: l.Backend, tie: g.chance.Uint64(), limit: 1, level: 1}
+			b = &backend{id: l.Backend, sent: now - int64(g.chance.Float64()*10*float64(sec))}
 			g.backends[l.Backend] = b
 			g.listed = append(g.listed, b)
 		}
 		if l.Started != b.started && l.Stage == Ready {
-			b.limit, b.level, b.late, b.strikes, b.errors, b.rest = 1, 1, 0, 0, 0, 0
+			b.pace, b.strikes, b.errors, b.rest = mean{}, 0, 0, 0
 		}
 		b.zone, b.group, b.started, b.ready = l.Zone, l.Group, l.Started, l.Stage == Ready
+		b.size = max(l.Size, 0)
+		if g.kinds[l.Kind] == nil {
+			g.kinds[l.Kind] = &mean{}
+		}
+		b.kind = g.kinds[l.Kind]
 	}
 	g.rank(now)
-	g.fill(now)
 }
 
-// rank renews the order of the backends: the quicker first, by steps of about 40%, since finer differences
-// are chance; then those of the own zone where crossing has a price; then in an order of this door's own, so
-// that the doors do not crowd the same ones. The limits follow the answer times against the usual one: a
-// backend that is slow, for whatever reason, is filled less, and goes back to its own good answer time while
-// it is not heard: else a jam that has passed would shut it out for long.
+// rank renews the order of the backends: by the answer time against that of their kind, in steps of about
+// 40%, since finer differences are chance; then those of the own zone where crossing has a price; then those
+// not sent to for the longest, by their size: so a door's shots spread by what machines are said to take, and
+// doors do not crowd the same ones. An answer time counts as far as it was measured: many doors see little of
+// each. The limits follow the answer times. A cold one is bounded by its budget alone: work may be what warms
+// it.
 func (g *Gate) rank(now int64) {
 	g.ranked = g.ranked[:0]
-	var sum, n float64
 	for _, b := range g.listed {
 		if b.ready {
 			g.ranked = append(g.ranked, b)
 		}
-		if b.ready && b.late > 0 {
-			sum, n = sum+1/b.late, n+1
-		}
 	}
-	g.usual = n / max(sum, 1e-30) // the harmonic mean: a few stalled backends hardly move it
 	for _, b := range g.ranked {
-		b.key = 0
-		if b.late > 0 {
-			if now-b.heard > sec { // not heard for a second: a jam is forgotten in three
-				b.late += 0.03 * (b.best - b.late)
-			}
-			b.limit = min(max(g.usual/b.late, 0.25), 2)
-			b.key = math.Round(2 * math.Log2(b.late/g.usual))
+		usual := b.kind.blend(g.all.value, 3)
+		if b.late = usual; !g.cold(now, b) {
+			b.late = b.pace.blend(usual, 3)
 		}
+		times := max(b.late, 1) / max(usual, 1)
+		b.limit, b.key = min(max(1/times, 0.25), 2), math.Round(2*math.Log2(times))
 		if g.terms.CrossZonePrice > 0 && b.zone != g.terms.Zone {
 			b.key += 0.5
 		}
+		b.due = float64(now-b.sent) * b.size
 	}
 	slices.SortFunc(g.ranked, func(a, b *backend) int {
-		return cmp.Or(cmp.Compare(a.key, b.key), cmp.Compare(a.tie, b.tie), cmp.Compare(a.id, b.id))
+		return cmp.Or(cmp.Compare(a.key, b.key), cmp.Compare(b.due, a.due), cmp.Compare(a.id, b.id))
 	})
 }
 
@@ -681,8 +670,8 @@
 
 // pick gives the first backend in the order that is below its limit, with none the least loaded; of those
 // only that likely answer within a third of the promised time left (few answers take three times the likely)
-// and half as much again as in quiet moments. The latter guards against backends that do less when held full
-// and against many doors each below its limit; it hurts where a door starts in a jam. Tried ones come last.
+// and three quiet times. The latter guards against backends that do less when held full and against many
+// doors each below its limit; it hurts where a door starts in a jam. Tried ones come last.
 func (g *Gate) pick(now int64, t *Transaction) *backend {
 	var best *backend
 	least := math.Inf(1)
@@ -698,9 +687,9 @@
 		}
 		most := float64(t.promised-now) / 3
 		if g.firsts >= early/2 {
-			most = min(most, 1.5*max(g.quick, b.best))
+			most = min(most, 3*g.quick)
 		}
-		if b.late*float64(b.out+1)/b.level > most {
+		if b.late*float64(b.out+3)/(b.level+2) > most { // two: the others' share of a line is not known
 			continue
 		}
 		if load <= 1 {
@@ -718,12 +707,12 @@
 	b.out--
 	switch o {
 	case Fulfilled:
-		b.heard, b.strikes, b.errors = now, 0, 0
+		b.heard, g.heard, b.strikes, b.errors = now, now, 0, 0
 		if s.early { // the first shots of a door's life meet the lines before it has filled them
 			g.firsts++
 			g.quick += (float64(elapsed) - g.quick) / g.firsts
 		}
-		b.measure(float64(elapsed), s.level)
+		b.measure(g, float64(elapsed), s.level)
 	case Errored, Rejected:
 		b.heard = now
 		b.errors++
@@ -737,20 +726,22 @@
 			b.strike(g, now)
 		}
 	case TimedOut, Recalled: // it would have taken longer, but a lost one says little of the others
-		if b.late > 0 && float64(elapsed) > b.late {
-			b.measure(min(float64(elapsed), 2*b.late), s.level)
+		if took := float64(elapsed); took > b.late {
+			b.measure(g, min(took, 2*b.late), s.level)
 		}
 	}
 }
 
-// measure smooths the answer time over about ten answers.
-func (b *backend) measure(took, level float64) {
-	if b.late == 0 {
-		b.late, b.level, b.best = took, level, took
+// measure smooths the answer time, over about ten answers of the backend and thirty of its kind and the
+// fleet.
+func (b *backend) measure(g *Gate, took, level float64) {
+	b.pace.add(took, 10)
+	b.level += (level - b.level) / b.pace.count
+	if b.late > 0 {
+		took = min(took, 3*b.late) // a few stalls say little of the others
 	}
-	b.late += 0.1 * (took - b.late)
-	b.level += 0.1 * (level - b.level)
-	b.best = min(b.best+0.01*(b.late-b.best), b.late)
+	b.kind.add(took, 30)
+	g.all.add(took, 30)
 }
 
 // strike eases a backend out for a while that doubles with each symptom, and has it probed before its return.
@@ -774,36 +765,37 @@
 	case b == nil || b.strikes == 0:
 	case o == Fulfilled:
 		b.rest = now
-		g.fill(now)
 	default:
 		b.strike(g, now)
 	}
 }
 
-// coldRoom keeps this door's part of what a cold backend bears in any span: half of it, since transactions
-// differ in work, and at the pace of one core, so that more cores only add safety. A transaction's work is
-// taken for half as much again as the quiet answer time, for slower kinds. Where it bears fewer shots than
-// there are doors, so many doors send it one each, told by its id. A door that has itself just started waits
-// a span: its earlier life may have spent it.
+// cold says whether a backend may not be warm yet.
+func (g *Gate) cold(now int64, b *backend) bool {
+	return b.started > 0 && now-b.started < g.terms.WarmUp
+}
+
+// coldRoom keeps the doors together within what a cold backend bears: half of the multiple, since
+// transactions differ in work, at the pace of one core, so that more cores only add safety, and with half as
+// much again as the quiet answer time for a transaction's work, for slower kinds. From its start on its shots
+// are numbered and go to the doors in turn, one each; what a door leaves unused is lost. So the sum holds for
+// any number of doors without a word between them. A door that has itself just started waits a span: its
+// earlier life may have sent much.
 func (t *Transaction) coldRoom(now int64, b *backend) bool {
 	g := t.gate
-	if b.started == 0 || now-b.started >= g.terms.WarmUp {
+	if !g.cold(now, b) {
 		return true
 	}
-	if now-g.born < g.terms.FallSpan {
-		return false
-	}
-	b.trim(g, now)
 	work := float64(t.profile.Promised) / 2 // nothing measured yet: few promises are tighter
 	if g.firsts >= early/2 {
 		work = g.quick * 1.5
 	}
-	age := float64(max(now-b.started-g.terms.FallSpan, 0)) / float64(max(g.terms.WarmUp, 1))
-	part := g.terms.ColdShare + (1-g.terms.ColdShare)*age
-	shots := uint64(min(max(g.terms.FallMultiple*part*float64(g.terms.FallSpan)/2/max(work, 1), 0), 1e9))
-	doors := uint64(max(g.terms.Doors, 1))
-	if place := (mix(uint64(b.id)) + uint64(g.terms.Me)) % doors; place < shots%doors {
-		shots += doors // this door has one of those left over
-	}
-	return uint64(len(b.sends)) < shots/doors
+	age, risen := float64(now-b.started), float64(max(now-b.started-g.terms.FallSpan, 0))
+	rise, rate := (1-g.terms.ColdShare)/float64(g.terms.WarmUp), g.terms.FallMultiple/2/max(work, 1)
+	number := rate * (g.terms.ColdShare*age + rise*risen*risen/2)
+	doors := max(g.terms.Doors, 1)
+	// Three quarters of the time between a door's turns: a change in what is measured shifts the numbers.
+	return now-g.born >= g.terms.FallSpan &&
+		(mix(uint64(b.id))+uint64(min(number, 1e15)))%uint64(doors) == uint64(g.terms.Me%doors) &&
+		float64(now-b.sent)*rate*(g.terms.ColdShare+rise*risen) >= 0.75*float64(doors)
 }
--- a/policy/state.go
+++ b/policy/state.go
@@ -23,8 +23,23 @@
 // plan is a row of the table of plans.
 type plan struct {
 	PlanTerms
-	window int64   // the time in which the rate fills one burst
-	quota  float64 // units a window
+	window  int64   // the time in which the rate fills one burst
+	quota   float64 // units a window
+	granted mean
+}
+
+// mean is a mean of what was measured lately, and of how many.
+type mean struct{ value, count float64 }
+
+// add takes in one more, over the last most or so.
+func (m *mean) add(x, most float64) {
+	m.count = min(m.count+1, most)
+	m.value += (x - m.value) / m.count
+}
+
+// blend is the mean with a guess that weighs as much as so many measured ones.
+func (m *mean) blend(guess, weight float64) float64 {
+	return (m.value*m.count + guess*weight) / (m.count + weight)
 }
 
 // Gate is one front door's decisions and all that they remember.
@@ -43,18 +58,17 @@
 	ranked    []*backend          // those that are ready, the best first
 	calls     map[CountID][]*call // unanswered, in the order they were made
 	customers map[CustomerID]*customer
-	held      []*Transaction // let in, waiting for room at a backend
-	pace      float64        // answers a second
-	usual     float64        // answer time of the backends together; 0: unknown
-	quick     float64        // the usual answer time of quiet moments; 0: unknown
-	sent      int            // shots in this door's life
-	firsts    float64        // of the first ones, answered
-	answers   int            // since the last tick
-	fails     int            // counter calls failed in a row
-	resume    int64          // when a tripped breaker lets a trial call pass
-	trial     bool           // the trial call is out
-	part      float64        // of the transactions that call, while a crowded counter answers only some
-	askAgain  int64          // wait before the list is asked for again
+	all       mean // answer time of the backends together
+	kinds     map[KindID]*mean
+	heard     int64   // when any last answered
+	quick     float64 // the usual answer time of quiet moments; 0: unknown
+	sent      int     // shots in this door's life
+	firsts    float64 // of the first ones, answered
+	fails     int     // counter calls failed in a row
+	resume    int64   // when a tripped breaker lets a trial call pass
+	trial     bool    // the trial call is out
+	part      float64 // of the transactions that call, while a crowded counter answers only some
+	askAgain  int64   // wait before the list is asked for again
 }
 
 // customer is what this door knows of a customer: of its quota, and of the limits that the door holds by
@@ -73,6 +87,8 @@
 	owed    float64 // units to be told with the next call: let in without the counter, or counted and not sent
 	mine    float64 // units told lately by this door
 	others  float64 // and by the others
+	close   bool    // its doors see enough of it to reckon its store together
+	granted mean
 	spent   float64 // units let in here that the door's share has not refilled yet
 	at      int64   // when spent was last reckoned
 	out     int     // shots out
@@ -111,7 +127,7 @@
 	drawn                 float64 // from the ceiling
 	place                 int     // this door's place among the customer's entry points
 	promised, limit       int64
-	asking, waiting       bool // for the counter; for room
+	asking                bool // the counter
 	inside, over, started bool
 	shots                 []shot
 	out                   int
@@ -119,22 +135,26 @@
 
 // backend is what this door knows of a backend.
 type backend struct {
-	id          BackendID
-	zone        ZoneID
-	group       GroupID
-	started     int64
-	ready       bool
-	out         int
-	limit       float64 // shots out up to which it is filled in its turn
-	late, level float64 // smoothed answer time, 0: unknown; and shots out while it was measured
-	best        float64 // answer time in its good moments
-	heard       int64   // when it last answered
-	rest        int64   // no shots before
-	strikes     int     // symptoms of illness since the last good answer
-	errors      int     // errors in a row
-	sends       []int64 // shots within the span of a cold backend's budget
-	key         float64 // of its rank
-	tie         uint64  // this door's own order among equals
+	id       BackendID
+	zone     ZoneID
+	group    GroupID
+	started  int64
+	ready    bool
+	out      int
+	kind     *mean   // answer time of its kind
+	size     float64 // what it is said to take, against the others
+	pace     mean    // its own answer time
+	level    float64 // shots out while that was measured
+	best     float64 // answer time in its good moments
+	late     float64 // answer time as reckoned; 0: unknown
+	most     float64 // answer time beyond which it gets nothing
+	limit    float64 // shots out up to which it is filled in its turn
+	heard    int64   // when it last answered
+	sent     int64   // when it was last sent to
+	rest     int64   // no shots before
+	strikes  int     // symptoms of illness since the last good answer
+	errors   int     // errors in a row
+	key, due float64 // of its rank
 }
 
 // at calls what at the time when, or soon after.
@@ -181,13 +201,5 @@
 	return x ^ x>>31
 }
 
-// trim forgets the shots before the span that a cold backend's budget is kept for. All are remembered, for a
-// start is told late.
-func (b *backend) trim(g *Gate, now int64) {
-	for len(b.sends) > 0 && b.sends[0] <= now-g.terms.FallSpan {
-		b.sends = b.sends[1:]
-	}
-}
-
 // span turns seconds into a time that later sums cannot overflow, whatever a plan's figures are.
 func span(seconds float64) int64 { return int64(min(max(seconds, 0), 1e8) * float64(sec)) }
