Look for room before counting, chances half way up, and forget jams before the quiet time is known

Tries that no backend had room for were counted as well, and clients' repeats filled quotas with what was never sent. And the chance of a share followed what the counter grants, most of which it dismisses to customers far beyond their quotas.

Changes: no count without room; a thinned call stands for the others as far as they are let in; a door that hears nothing for a second forgets answer times, quiet time known or not; the chance is half way up from what was granted.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -18,8 +18,7 @@
 	"fawnplank/internal/pcg"
 )
 
-// slop forgives rounding: the counter tells totals to seven digits.
-const slop = 0.01
+const slop = 0.01 // forgives rounding: the counter tells totals to seven digits
 
 // New starts the decisions of a front door.
 func New(now int64, seed uint64, terms Terms, door Door) *Gate {
@@ -48,25 +47,30 @@
 	return g
 }
 
-// tick is the periodic work. A tenth of a second gives even slow doors an answer or two between two orders.
+// tick is the periodic work, every tenth of a second: rarer would let one order stand for too many shots.
 func (g *Gate) tick(now int64) {
-	const period = 100 * ms
 	if g.firsts >= early/2 {
 		// Falls with a quicker fleet in a second, and rises with a slower one in about a minute.
 		g.quick += 0.002*(g.all.value-g.quick) + 0.1*min(g.all.value-g.quick, 0)
-		if now-g.heard > sec { // nothing heard for a second: a jam is forgotten in three
-			g.all.value += 0.03 * min(g.quick-g.all.value, 0)
-		}
 	}
 	for _, b := range g.listed {
 		b.pace.count *= 0.98 // what is known of a single backend fades in five seconds
 	}
+	if now-g.heard > sec { // a door that took a jam for granted would send nothing more and learn nothing
+		g.all.value *= 0.97         // forgotten in three seconds
+		for _, k := range g.kinds { // each by itself: the order does not matter
+			k.value *= 0.97
+		}
+		for _, b := range g.listed {
+			b.pace.count *= 0.97
+		}
+	}
 	g.rank(now)
-	g.door.Wake(now+period, markTick)
+	g.door.Wake(now+100*ms, markTick)
 }
 
-// Take takes a transaction. left is the time until its client gives up; the customer's transactions come in
-// through entries front doors in a row, the first of which is first.
+// Take takes a transaction. left is the time until its client gives up; the customer's come in through
+// entries front doors in a row from first on.
 func (g *Gate) Take(now int64, id TransactionID, pr ProfileID, pl PlanID, c CustomerID, left int64,
 	units float64, entries, first int) *Transaction {
 	t := &Transaction{gate: g, id: id, units: max(units, 0), entries: float64(max(entries, 1))}
@@ -175,6 +179,10 @@
 // ask counts the transaction, if the breaker lets it call, and goes by the door's share if not.
 func (t *Transaction) ask(now int64) {
 	g, c := t.gate, t.customer
+	if g.pick(now, t) == nil {
+		t.end(now, t.profile.Promised/8) // no backend has room: counted, it would shut others of the customer out
+		return
+	}
 	if c.known+t.units > c.plan.quota+c.refilled(now, c.start)+slop {
 		c.learn(0)
 		t.beyond(now) // spent as far as is known: no call can say otherwise
@@ -185,8 +193,8 @@
 		return
 	}
 	t.asking = true
-	// A crowded counter hears of a part of the transactions only: each stands for the others too.
-	k := g.count(now, c, t, t.units/max(g.part, 0.2), c.owed)
+	// A crowded counter hears of a part of the transactions only: each stands for the others let in too.
+	k := g.count(now, c, t, t.units*(1+(1/max(g.part, 0.2)-1)*t.chance()), c.owed)
 	c.owed = 0
 	g.at(now+min(t.profile.wait, (t.limit-now)/2), func(now int64) {
 		if k.waits {
@@ -195,12 +203,11 @@
 	})
 }
 
-// answered ends the wait for a call's answer, in time or not: the breaker hears of it, and the transaction is
-// decided, unless its client left meanwhile.
+// answered ends the wait for a call's answer, in time or not.
 func (k *call) answered(g *Gate, now int64, ok, in bool) {
 	k.waits = false
 	g.called(now, ok)
-	if k.t.asking {
+	if k.t.asking { // its client has not left meanwhile
 		k.t.decide(now, in, k)
 	}
 }
@@ -214,8 +221,7 @@
 	return k
 }
 
-// breakAt is the post's threshold: five failures in a row are no chance.
-const breakAt = 5
+const breakAt = 5 // the post's threshold: five failures in a row are no chance
 
 func (g *Gate) mayCall(now int64) bool {
 	if g.fails < breakAt {
@@ -228,10 +234,9 @@
 	return true
 }
 
-// called keeps the breaker, and the part of the transactions that call. Exception: a counter that answers
-// only some calls never trips the breaker, or trips it again and again: each failure takes a fifth off the
-// part, each answer gives a fiftieth back, and after a trip the calls come back by halves. Covers slow and
-// crowded counters; hurts by going by the shares a little longer than must be.
+// called keeps the breaker, and the part of the transactions that call. Exception: a slow or crowded counter
+// answers only some calls and never trips the breaker, or again and again: each failure takes a fifth off the
+// part, each answer gives a fiftieth back. Hurts by going by the shares a little longer than must be.
 func (g *Gate) called(now int64, ok bool) {
 	switch {
 	case ok && g.fails >= breakAt:
@@ -324,7 +329,7 @@
 
 // share decides without the counter: by the profile's preset, or by the door's share of the quota.
 func (t *Transaction) share(now int64) bool {
-	c, quota := t.customer, t.plan.quota
+	c := t.customer
 	switch t.profile.Silence {
 	case LetAll:
 		return true
@@ -335,11 +340,21 @@
 	if c.spent+t.units > share+slop {
 		return false
 	}
-	// The floor of one transaction a door adds up past small quotas: where the share is a fraction of one, it
-	// is given by chance, as often as the counter let the customer in while it answered; for want of that as
-	// often as it let in the plan, and for want of both by the fraction.
-	part := quota * c.part(t.entries) / t.units
-	return part+slop >= 1 || t.gate.chance.Float64() < c.granted.blend(t.plan.granted.blend(part, 1), 1)
+	chance := t.chance()
+	return chance >= 1 || t.gate.chance.Float64() < chance
+}
+
+// chance is how likely the door's share lets a transaction in that it has room for. The floor of one
+// transaction a door adds up past small quotas: where the share is a fraction of one, it is given by chance,
+// as often as the counter let the customer in while it answered, or for want of that the plan; but half way
+// up from there, since customers far beyond their quotas are most of what the counter dismisses, and a door
+// tells them by other signs. Hurts where the backends could not bear what is let in beyond the quotas.
+func (t *Transaction) chance() float64 {
+	part := t.plan.quota * t.customer.part(t.entries) / t.units
+	if part+slop >= 1 || !t.gate.terms.Counter {
+		return min(part+slop, 1)
+	}
+	return (1 + t.customer.granted.blend(t.plan.granted.blend(part, 1), 1)) / 2
 }
 
 // learn notes what part of a transaction the count let in.
@@ -461,17 +476,11 @@
 // harmless says whether dismissal may promise that trying again does no harm.
 func (t *Transaction) harmless() bool {
 	p := t.profile
-	return p.Effect == Reissuable || p.Effect == Numbered && p.Reach == ReachAll || t.unharmed()
-}
-
-// unharmed says whether it is proved that no shot ran.
-func (t *Transaction) unharmed() bool {
-	return !slices.ContainsFunc(t.shots, func(s shot) bool { return s.harmed })
+	return p.Effect == Reissuable || p.Effect == Numbered && p.Reach == ReachAll ||
+		!slices.ContainsFunc(t.shots, func(s shot) bool { return s.harmed })
 }
 
-// early is how many first shots of a door tell the answer time of quiet moments: enough to average over
-// chance.
-const early = 30
+const early = 30 // first shots of a door that tell the answer time of quiet moments: enough to average
 
 // shoot is the only place that sends.
 func (t *Transaction) shoot(now int64, b *backend) bool {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -186,7 +186,7 @@
 }
 
 func TestRefusingCounterLeavesTheShareOrThePreset(t *testing.T) {
-	for silence, want := range []int{KeepShare: 5, LetAll: 30, DismissAll: 0} { // the share is half of a burst of 10
+	for silence, want := range []int{KeepShare: 5, LetAll: 30, DismissAll: 0} { // share: half of a burst of 10
 		terms := plainTerms()
 		terms.Profiles[0].Silence = Silence(silence)
 		if in := admit(newDesk(t, terms, ready(1, 2, 3)...), 0, 30, 1, Rejected); in != want {
@@ -310,15 +310,16 @@
 // Failure: a floor of one transaction a door added up past small quotas, and a share under one transaction
 // shut small customers out where there are many doors.
 func TestSmallQuotaOverManyDoorsInSilence(t *testing.T) {
-	for _, told := range []float64{0, 1} { // without a counter; after one that let all in
+	for _, told := range []float64{0, 1} { // without a counter; while one is silent that let all in
 		in := 0
 		for me := range 20 {
 			terms := plainTerms()
-			terms.Me, terms.Doors, terms.Counter = me, 20, false
+			terms.Me, terms.Doors, terms.Counter = me, 20, told > 0
 			terms.Plans[0] = PlanTerms{Rate: 0.1, Burst: 2}
 			d := newDesk(t, terms, ready(1, 2, 3)...)
 			d.g.chance = pcg.New(uint64(me))
 			d.g.plans[0].granted = mean{told, told * 20}
+			d.g.fails, d.g.resume = breakAt, d.now+sec
 			for c := range 10 {
 				id := TransactionID(c)
 				d.taken[id] = &taken{limit: d.now + sec}
@@ -420,19 +421,32 @@
 	}
 }
 
-// Failure: backends that a jam had made slow got nothing, and so were never found quick again.
+// Failure: backends that a jam had made slow got nothing, and so were never found quick again; likewise by a
+// door that had met the jam before it knew a quiet time.
 func TestJamIsForgotten(t *testing.T) {
-	d := quiet(t, ready(1)...)
-	for n := range 60 {
-		x := d.take(TransactionID(n), 0, 0, CustomerID(n), 2*sec, 1)
-		d.pass([]int64{50 * ms, 700 * ms}[n/40])
-		for i := range x.shots {
-			d.settle(x, i, Fulfilled)
+	for _, quick := range []int{40, 0} {
+		d := quiet(t, ready(1)...)
+		for n := range quick + 10 {
+			x := d.take(TransactionID(n), 0, 0, CustomerID(n), 2*sec, 1)
+			if d.pass(50 * ms); n >= quick {
+				d.pass(650 * ms)
+			}
+			for i := range x.shots {
+				d.settle(x, i, Fulfilled)
+			}
+		}
+		d.pass(12 * sec)
+		if x := d.take(100, 0, 0, 100, 2*sec, 1); len(x.shots) != 1 {
+			t.Errorf("nothing sent long after a jam that came after %d quick answers", quick)
 		}
 	}
-	d.pass(8 * sec)
-	if x := d.take(100, 0, 0, 100, 2*sec, 1); len(x.shots) != 1 {
-		t.Error("nothing sent long after a jam")
+}
+
+// Failure: tries that no backend had room for were counted, and shut the customer's later ones out.
+func TestWithoutRoomNothingIsCounted(t *testing.T) {
+	d := newDesk(t, plainTerms())
+	if x := d.take(1, 0, 0, 1, 2*sec, 1); len(d.asked) > 0 || x.ended != "dismissed" {
+		t.Errorf("%d calls, %q", len(d.asked), x.ended)
 	}
 }
 
