A share of a fraction refills by what a unit beyond costs; a customer's own record at face value

Changes: what the counter told of a customer counts in full, only the guess from the plan is half way up; a share under one transaction refills with the rate, two and a half times over what a unit beyond the quota costs, in place of one transaction a window; entries are kept a minute longer for that.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -120,10 +120,10 @@
 	return c
 }
 
-// forget drops a customer's entry once it has passed two windows unused, nothing of it is out, and its
-// ceiling's store would be full anyway.
+// forget drops a customer's entry once it has passed two windows and a minute (as long as the counter keeps a
+// number) unused, nothing of it is out, and its ceiling's store would be full anyway.
 func (g *Gate) forget(now int64, c *customer) {
-	rest := max(2*c.plan.window, 10*sec) // ten seconds: seldom enough for plans of tiny windows
+	rest := max(2*c.plan.window, 60*sec) // ten seconds: seldom enough for plans of tiny windows
 	if c.plan.CeilingRate > 0 {
 		rest = max(rest, span(c.plan.CeilingBurst/c.plan.CeilingRate))
 	}
@@ -300,7 +300,8 @@
 		} else if c.lacks == 0 {
 			c.lacks = now
 		}
-		if c.lacks > 0 && now >= c.lacks+int64(c.turnOf(t))*t.profile.wait {
+		turn := (t.place + int(uint64(c.name)%1024)) % int(t.entries)
+		if c.lacks > 0 && now >= c.lacks+int64(turn)*t.profile.wait {
 			right = c.missing
 			c.missing, c.lacks = 0, 0
 		}
@@ -346,15 +347,15 @@
 
 // chance is how likely the door's share lets a transaction in that it has room for. The floor of one
 // transaction a door adds up past small quotas: where the share is a fraction of one, it is given by chance,
-// as often as the counter let the customer in while it answered, or for want of that the plan; but half way
-// up from there, since customers far beyond their quotas are most of what the counter dismisses, and a door
-// tells them by other signs. Hurts where the backends could not bear what is let in beyond the quotas.
+// as often as the counter let the customer in while it answered. Where it told nothing of the customer, half
+// way up from what it let in of the plan: most of what it dismisses is of few customers, far beyond their
+// quotas.
 func (t *Transaction) chance() float64 {
 	part := t.plan.quota * t.customer.part(t.entries) / t.units
 	if part+slop >= 1 || !t.gate.terms.Counter {
 		return min(part+slop, 1)
 	}
-	return (1 + t.customer.granted.blend(t.plan.granted.blend(part, 1), 1)) / 2
+	return t.customer.granted.blend((1+t.plan.granted.blend(part, 1))/2, 1)
 }
 
 // learn notes what part of a transaction the count let in.
@@ -364,18 +365,18 @@
 }
 
 // allowance is the door's share of a window, at least the transaction's units, and reckons what of it has
-// been refilled.
+// been refilled. Traffic is not spread evenly, least of all a few transactions over many doors: a share of a
+// fraction of one refills the quicker the less a unit beyond the quota costs. Two and a half times at the
+// full utility: with one and a half customers within their quotas lose more than is saved, with six less.
 func (t *Transaction) allowance(now int64) float64 {
 	c := t.customer
-	share := max(t.plan.quota*c.part(t.entries), t.units)
-	c.spent = max(c.spent-share*float64(now-c.at)/float64(t.plan.window), 0)
-	c.at = now
-	return share
-}
-
-// turnOf is a door's turn among a customer's entry points, in an order that the window's name gives.
-func (c *customer) turnOf(t *Transaction) int {
-	return (t.place + int(uint64(c.name)%1024)) % int(t.entries)
+	part := c.part(t.entries)
+	pace := t.plan.Rate * part
+	if t.plan.quota*part+slop < t.units {
+		pace *= max(2.5/max(t.plan.BeyondCosts, 0.1), 1)
+	}
+	c.spent, c.at = max(c.spent-pace*float64(now-c.at)/float64(sec), 0), now
+	return max(t.plan.quota*part, t.units)
 }
 
 // part is the door's part of the customer's traffic: an even one to begin with. Exception: traffic is not
@@ -406,21 +407,20 @@
 // transactions earn more beyond the quota than they cost, and a backend has room for one, it is let in.
 func (t *Transaction) beyond(now int64) {
 	c := t.customer
-	again := t.profile.Promised
-	if t.plan.Rate > 0 {
-		lacks := c.known + t.units - t.plan.quota - c.refilled(now, c.start)
-		again = span(max(lacks, t.units/8) / t.plan.Rate)
-	}
 	if t.plan.BeyondEarns > t.plan.BeyondCosts {
 		if b := t.gate.pick(now, t); b != nil && b.load() <= 1 {
 			t.letIn(now, false)
 			return
 		}
 	}
+	again := t.profile.Promised
+	if t.plan.Rate > 0 {
+		lacks := c.known + t.units - t.plan.quota - c.refilled(now, c.start)
+		again = span(max(lacks, t.units/8) / t.plan.Rate)
+	}
 	t.end(now, again)
 }
 
-// letIn sends a transaction on its way.
 func (t *Transaction) letIn(now int64, inside bool) {
 	t.inside = inside
 	if inside && t.plan.Rate > 0 {
@@ -455,8 +455,7 @@
 	if t.out > 0 && !g.terms.SecondCopies {
 		return false
 	}
-	for i := range t.shots {
-		s := &t.shots[i]
+	for _, s := range t.shots {
 		if !s.harmed {
 			continue
 		}
