See a jam before its answers come: shots out past patience and full lines are measured

Cause: a rejection taught a door nothing and at once sent the next shot, and with a few shots a second a door learned of late answers seconds late.

Change: a shot still out at the end of patience is measured then, and a rejection counts as twice the usual answer time, of the backend, its kind and the fleet; it no longer strikes the backend. Covers any jam; hurts where single machines reject while the fleet has room, since their kind is taken for slower for some answers.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -512,12 +512,14 @@
 // backend has no other traffic from this door: work is done twice.
 func (t *Transaction) look(now int64, n int) {
 	s, g := &t.shots[n], t.gate
-	if !s.out || t.over || t.started || s.to.heard > s.sent {
+	if !s.out || t.over || t.started {
 		return
 	}
-	if now >= s.to.rest {
-		s.to.strike(g, now)
+	s.to.measure(g, float64(now-s.sent), s.level) // a jam shows here before its answers come
+	if s.to.heard > s.sent {
+		return
 	}
+	s.to.strike(g, now)
 	if t.out > 1 || now >= t.lastCall() || !t.harmless() {
 		return
 	}
@@ -721,18 +723,17 @@
 			g.quick += (float64(elapsed) - g.quick) / g.firsts
 		}
 		b.measure(g, float64(elapsed), s.level)
-	case Errored, Rejected:
+	case Rejected: // who gets into a full line is late, and a fleet of them is jammed
+		b.heard, g.heard, b.rest = now, now, max(b.rest, now+50*ms) // about what a full line takes to move on
+		b.measure(g, 2*b.late, s.level)
+	case Errored:
 		b.heard = now
 		b.errors++
-		if b.errors >= 3 && now >= b.rest { // rare single errors are normal, and so are full lines
+		if b.errors >= 3 { // rare single errors are normal
 			b.strike(g, now)
-		} else if o == Rejected {
-			b.rest = max(b.rest, now+50*ms) // about what a full line takes to move on
 		}
 	case Unreached, CutOff:
-		if now >= b.rest {
-			b.strike(g, now)
-		}
+		b.strike(g, now)
 	case TimedOut, Recalled: // it would have taken longer, but a lost one says little of the others
 		if took := float64(elapsed); took > b.late {
 			b.measure(g, min(took, 2*b.late), s.level)
@@ -740,8 +741,7 @@
 	}
 }
 
-// measure smooths the answer time, over about ten answers of the backend and thirty of its kind and the
-// fleet.
+// measure smooths the answer time, over about ten of the backend and thirty of its kind and the fleet.
 func (b *backend) measure(g *Gate, took, level float64) {
 	b.pace.add(took, 10)
 	b.level += (level - b.level) / b.pace.count
@@ -754,6 +754,9 @@
 
 // strike eases a backend out for a while that doubles with each symptom, and has it probed before its return.
 func (b *backend) strike(g *Gate, now int64) {
+	if now < b.rest {
+		return
+	}
 	b.strikes++
 	b.rest = now + 100*ms<<min(b.strikes, 5) // 0.2 to 3.2 s: a short stall costs little, a dead one few tries
 	if g.terms.Probes {
@@ -768,13 +771,10 @@
 
 // Probed brings a probe's answer: a good one lets a single shot try the backend.
 func (g *Gate) Probed(now int64, id BackendID, o Outcome) {
-	b := g.backends[id]
-	switch {
-	case b == nil || b.strikes == 0:
-	case o == Fulfilled:
-		b.rest = now
-	default:
-		b.strike(g, now)
+	if b := g.backends[id]; b != nil && b.strikes > 0 {
+		if b.rest = now; o != Fulfilled {
+			b.strike(g, now)
+		}
 	}
 }
 
