--- a/policy/policy.go
+++ b/policy/policy.go
@@ -680,7 +680,7 @@
 
 // pick gives the first backend in the order that is below its limit, with none the least loaded; of those
 // only that likely answer within a third of the promised time left (few answers take three times the likely)
-// and three quiet times. The latter guards against backends that do less when held full and against many
+// and two and a half quiet times. The latter guards against backends that do less when held full and against many
 // doors each below its limit; it hurts where a door starts in a jam. Tried ones come last.
 func (g *Gate) pick(now int64, t *Transaction) *backend {
 	var best *backend
@@ -697,7 +697,7 @@
 		}
 		most := float64(t.promised-now) / 3
 		if g.firsts >= early/2 {
-			most = min(most, 3*g.quick)
+			most = min(most, 2.5*g.quick)
 		}
 		if b.late*float64(b.out+3)/(b.level+2) > most { // two: the others' share of a line is not known
 			continue
@@ -734,10 +734,6 @@
 		}
 	case Unreached, CutOff:
 		b.strike(g, now)
-	case TimedOut, Recalled: // it would have taken longer, but a lost one says little of the others
-		if took := float64(elapsed); took > b.late {
-			b.measure(g, min(took, 2*b.late), s.level)
-		}
 	}
 }
 
