Bound a door's shots out by its part of the backends and its pace of answers

Cause: hundreds of doors each send what they get until the first late answers come, and fill again as soon as they forget; together that is more than the fleet holds.

Change: a door has no more out than two, its part of one shot a backend, and 1.3 times what its pace of answers ends in the time a backend may take. Shots past patience no longer count. Covers any jam at any number of doors; hurts where a door's traffic rises many times within a second, and a restarted door for about a second.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -4,9 +4,9 @@
 // How to call it: New makes a Gate from the terms; Backends feeds it the list. Take takes a transaction and
 // gives its handle; Settled, Started and Left are called on that handle. Counted, Probed and Wake bring the
 // answers of the counter, of probes and of the clock. Calls of one Gate come one at a time, in order of time.
-// Each transaction is counted on the counter under a short wait; a breaker stops calling a counter that
-// fails, and the front door's share of the quota decides instead. What is let in goes to the first backend of
-// a ranked order that is below its limit. Only (*Transaction).shoot sends, and only end and Settled finish.
+// Each transaction is counted under a short wait; a breaker stops calling a counter that fails, and the
+// door's share of the quota decides instead. What is let in goes to the first backend of a ranked order that
+// is below its limit. Only (*Transaction).shoot sends, and only end and Settled finish.
 package policy
 
 import (
@@ -49,6 +49,7 @@
 
 // tick is the periodic work, every tenth of a second: rarer would let one order stand for too many shots.
 func (g *Gate) tick(now int64) {
+	g.pace, g.answers = g.pace+0.1*(g.answers*10-g.pace), 0 // over about a second
 	if g.firsts >= early/2 {
 		// Falls with a quicker fleet in a second, and rises with a slower one in about a minute.
 		g.quick += 0.002*(g.all.value-g.quick) + 0.1*min(g.all.value-g.quick, 0)
@@ -167,8 +168,7 @@
 }
 
 // refilled is what the rate has given since the window's start. Where a customer's doors outnumber the units
-// of a window, few of them see two windows in a row, none knows what is to be carried, and the plain count of
-// the design holds: all tries, against the quota, afresh each window.
+// of a window, none knows what is to be carried, and the plain count of the design holds: all tries, afresh.
 func (c *customer) refilled(now, start int64) float64 {
 	if !c.close {
 		return 0
@@ -203,7 +203,6 @@
 	})
 }
 
-// answered ends the wait for a call's answer, in time or not.
 func (k *call) answered(g *Gate, now int64, ok, in bool) {
 	k.waits = false
 	g.called(now, ok)
@@ -212,7 +211,6 @@
 	}
 }
 
-// count calls the counter.
 func (g *Gate) count(now int64, c *customer, t *Transaction, units, more float64) *call {
 	k := &call{c: c, t: t, start: c.start, amount: units + more, units: units, righted: c.righted,
 		waits: t != nil}
@@ -235,8 +233,8 @@
 }
 
 // called keeps the breaker, and the part of the transactions that call. Exception: a slow or crowded counter
-// answers only some calls and never trips the breaker, or again and again: each failure takes a fifth off the
-// part, each answer gives a fiftieth back. Hurts by going by the shares a little longer than must be.
+// answers some calls and seldom trips the breaker: each failure takes a fifth off the part, each answer gives
+// a fiftieth back. Hurts by going by the shares a little longer than must be.
 func (g *Gate) called(now int64, ok bool) {
 	switch {
 	case ok && g.fails >= breakAt:
@@ -279,9 +277,8 @@
 		return
 	}
 	// The total lacks what the burst cannot hold of the refill, what the last window left used, and what a
-	// counter lost that came back empty. Each door reckons with what is missing as far as it knows. The
-	// customer's doors put it right in an order of the window's own, each only if it is still missing when
-	// the ones before had the time: two at once would count it twice and shut the customer out.
+	// counter lost that came back empty. The customer's doors put right what they know to be missing in an
+	// order of the window's own, each if the ones before did not: two at once would shut the customer out.
 	total += c.righted - k.righted // what was put right since the call went out
 	before, refilled := total-k.amount, c.refilled(now, k.start)
 	var right float64
@@ -346,10 +343,9 @@
 }
 
 // chance is how likely the door's share lets a transaction in that it has room for. The floor of one
-// transaction a door adds up past small quotas: where the share is a fraction of one, it is given by chance,
-// as often as the counter let the customer in while it answered. Where it told nothing of the customer, half
-// way up from what it let in of the plan: most of what it dismisses is of few customers, far beyond their
-// quotas.
+// transaction a door adds up past small quotas: where the share is a fraction of one, it is given as often as
+// the counter let the customer in; where it told nothing of that one, half way up from what it let in of the
+// plan, since most of what it dismisses is of few customers, far beyond their quotas.
 func (t *Transaction) chance() float64 {
 	part := t.plan.quota * t.customer.part(t.entries) / t.units
 	if part+slop >= 1 || !t.gate.terms.Counter {
@@ -379,9 +375,8 @@
 	return max(t.plan.quota*part, t.units)
 }
 
-// part is the door's part of the customer's traffic: an even one to begin with. Exception: traffic is not
-// spread evenly, and what the counter told while it answered shows this door's part. Hurts when the spread
-// changes during a silence.
+// part is the door's part of the customer's traffic: an even one to begin with. Exception: traffic is spread
+// unevenly, and the counter showed this door's part. Hurts when the spread changes during a silence.
 func (c *customer) part(entries float64) float64 {
 	const even = 20 // units: twice what ten answers of one unit tell, so that chance does not pass for a part
 	return (c.mine + even/entries) / (c.mine + c.others + even)
@@ -491,6 +486,7 @@
 	t.out++
 	t.customer.out++
 	b.out++
+	g.out++
 	t.shots[n].level, t.shots[n].early = float64(b.out), g.sent < early
 	g.sent++
 	b.sent = now
@@ -507,12 +503,15 @@
 	return true
 }
 
-// look asks whether a shot that takes long is stalled: its backend has answered nothing since. Guards
-// against backends that hang, stand still or are cut off. Hurts when a transaction is merely long and its
-// backend has no other traffic from this door: work is done twice.
+// look asks whether a shot that takes long is stalled: its backend has answered nothing since. Guards against
+// backends that hang, stand still or are cut off. Hurts when a transaction is merely long: work done twice.
 func (t *Transaction) look(now int64, n int) {
 	s, g := &t.shots[n], t.gate
-	if !s.out || t.over || t.started {
+	if !s.out {
+		return
+	}
+	s.overdue = true
+	if g.out--; t.over || t.started {
 		return
 	}
 	s.to.measure(g, float64(now-s.sent), s.level) // a jam shows here before its answers come
@@ -595,7 +594,6 @@
 	g.door.Dismiss(t.id, max(advice, 0))
 }
 
-// finish marks a transaction as answered and gives back what it did not use.
 func (t *Transaction) finish() {
 	t.over, t.asking = true, false
 	if len(t.shots) == 0 {
@@ -645,12 +643,11 @@
 	g.rank(now)
 }
 
-// rank renews the order of the backends: by the answer time against that of their kind, in steps of about
-// 40%, since finer differences are chance; then those of the own zone where crossing has a price; then those
-// not sent to for the longest, by their size: so a door's shots spread by what machines are said to take, and
-// doors do not crowd the same ones. An answer time counts as far as it was measured: many doors see little of
-// each. The limits follow the answer times. A cold one is bounded by its budget alone: work may be what warms
-// it.
+// rank renews the order of the backends: by the answer time against that of their kind, in steps of some 40%,
+// since finer differences are chance; then those of the own zone where crossing has a price; then those not
+// sent to for the longest, by their size, so that doors do not crowd the same ones. An answer time counts as
+// far as it was measured: many doors see little of each. The limits follow the answer times. A cold one is
+// bounded by its budget alone: work may be what warms it.
 func (g *Gate) rank(now int64) {
 	g.ranked = g.ranked[:0]
 	for _, b := range g.listed {
@@ -678,13 +675,21 @@
 // load is how full one more shot would make the backend, as a share of its limit.
 func (b *backend) load() float64 { return float64(b.out+1) / b.limit }
 
-// pick gives the first backend in the order that is below its limit, with none the least loaded; of those
-// only that likely answer within a third of the promised time left (few answers take three times the likely)
-// and two and a half quiet times. The latter guards against backends that do less when held full and against many
-// doors each below its limit; it hurts where a door starts in a jam. Tried ones come last.
+// pick gives the first backend in the order that is below its limit, with none the least loaded, tried ones
+// last; of those only that likely answer within a third of the promised time left (few take three times the
+// likely) and 2.5 quiet times: backends held full do less. A door has no more out than two, its part
+// of one for each backend, and what its pace of answers ends in that time and a third: so many doors stop of
+// themselves before late answers come. Hurts where a door's traffic rises many times within a second.
 func (g *Gate) pick(now int64, t *Transaction) *backend {
 	var best *backend
-	least := math.Inf(1)
+	least, most := math.Inf(1), float64(t.promised-now)/3
+	if g.firsts >= early/2 {
+		most = min(most, 2.5*g.quick)
+	}
+	each := float64(len(g.ranked)) / float64(max(g.terms.Doors, 1))
+	if float64(g.out) >= 2+each+1.3*g.pace*most/float64(sec) {
+		return nil
+	}
 	for _, b := range g.ranked {
 		if now < b.rest || b.strikes > 0 && b.out > 0 || !t.allowed(now, b) {
 			continue
@@ -695,10 +700,6 @@
 				load += 2
 			}
 		}
-		most := float64(t.promised-now) / 3
-		if g.firsts >= early/2 {
-			most = min(most, 2.5*g.quick)
-		}
 		if b.late*float64(b.out+3)/(b.level+2) > most { // two: the others' share of a line is not known
 			continue
 		}
@@ -715,8 +716,12 @@
 // settled learns from how a shot ended.
 func (b *backend) settled(g *Gate, now int64, s *shot, o Outcome, elapsed int64) {
 	b.out--
+	if !s.overdue {
+		g.out--
+	}
 	switch o {
 	case Fulfilled:
+		g.answers++
 		b.heard, g.heard, b.strikes, b.errors = now, now, 0, 0
 		if s.early { // the first shots of a door's life meet the lines before it has filled them
 			g.firsts++
@@ -779,12 +784,11 @@
 	return b.started > 0 && now-b.started < g.terms.WarmUp
 }
 
-// coldRoom keeps the doors together within what a cold backend bears: half of the multiple, since
-// transactions differ in work, at the pace of one core, so that more cores only add safety, and with half as
-// much again as the quiet answer time for a transaction's work, for slower kinds. From its start on its shots
-// are numbered and go to the doors in turn, one each; what a door leaves unused is lost. So the sum holds for
-// any number of doors without a word between them. A door that has itself just started waits a span: its
-// earlier life may have sent much.
+// coldRoom keeps the doors together within what a cold backend bears: half the multiple, since transactions
+// differ in work, at the pace of one core, so that more only add safety, and with half as much again as the
+// quiet answer time for work, for slower kinds. Its shots are numbered from its start and go to the doors in
+// turn, one each; what a door leaves unused is lost. So the sum holds for any number of doors without a word
+// between them. A door that has itself just started waits a span: its earlier life may have sent much.
 func (t *Transaction) coldRoom(now int64, b *backend) bool {
 	g := t.gate
 	if !g.cold(now, b) {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -470,6 +470,19 @@
 	}
 }
 
+// Failure: at their start many doors sent all they got before the first late answer told of a jam.
+func TestYoungDoorOfManyKeepsFewShotsOut(t *testing.T) {
+	terms := plainTerms()
+	terms.Counter, terms.Doors = false, 100
+	d, sent := newDesk(t, terms, ready(1, 2, 3, 4, 5, 6, 7, 8, 9, 10)...), 0
+	for n := range 40 {
+		sent += len(d.take(TransactionID(n), 0, 0, CustomerID(n), 2*sec, 1).shots)
+	}
+	if sent < 1 || sent > 4 {
+		t.Errorf("%d shots out of one of 100 doors before any answer", sent)
+	}
+}
+
 // Failure: tries that no backend had room for were counted, and shut the customer's later ones out.
 func TestWithoutRoomNothingIsCounted(t *testing.T) {
 	d := newDesk(t, plainTerms())
@@ -507,10 +520,14 @@
 func TestPartlyAnsweringCounterIsCalledLess(t *testing.T) {
 	d, calls := newDesk(t, plainTerms(), ready(1, 2, 3)...), 0
 	for n := range 200 {
-		if d.take(TransactionID(n), 0, 0, CustomerID(n), 2*sec, 1); len(d.asked) > 0 {
+		x := d.take(TransactionID(n), 0, 0, CustomerID(n), 2*sec, 1)
+		if len(d.asked) > 0 {
 			calls++
 			d.answer([]Outcome{Fulfilled, Rejected}[calls%2])
 		}
+		if len(x.shots) > 0 {
+			d.settle(x, 0, Fulfilled)
+		}
 	}
 	if calls < 10 || calls > 80 {
 		t.Errorf("%d of 200 transactions called a counter that refuses every other call", calls)
--- a/policy/state.go
+++ b/policy/state.go
@@ -44,31 +44,33 @@
 
 // Gate is one front door's decisions and all that they remember.
 type Gate struct {
-	door      Door
-	terms     Terms
-	profiles  []profile
-	plans     []plan
-	chance    *pcg.Source
-	born      int64
-	due       due.Queue[func(now int64)]
-	woken     int64  // the time of the earliest wake asked for; 0: none
-	wakes     uint64 // its number
-	backends  map[BackendID]*backend
-	listed    []*backend          // in the order they were first heard of
-	ranked    []*backend          // those that are ready, the best first
-	calls     map[CountID][]*call // unanswered, in the order they were made
-	customers map[CustomerID]*customer
-	all       mean // answer time of the backends together
-	kinds     map[KindID]*mean
-	heard     int64   // when any last answered
-	quick     float64 // the usual answer time of quiet moments; 0: unknown
-	sent      int     // shots in this door's life
-	firsts    float64 // of the first ones, answered
-	fails     int     // counter calls failed in a row
-	resume    int64   // when a tripped breaker lets a trial call pass
-	trial     bool    // the trial call is out
-	part      float64 // of the transactions that call, while a crowded counter answers only some
-	askAgain  int64   // wait before the list is asked for again
+	door          Door
+	terms         Terms
+	profiles      []profile
+	plans         []plan
+	chance        *pcg.Source
+	born          int64
+	due           due.Queue[func(now int64)]
+	woken         int64  // the time of the earliest wake asked for; 0: none
+	wakes         uint64 // its number
+	backends      map[BackendID]*backend
+	listed        []*backend          // in the order they were first heard of
+	ranked        []*backend          // those that are ready, the best first
+	calls         map[CountID][]*call // unanswered, in the order they were made
+	customers     map[CustomerID]*customer
+	all           mean // answer time of the backends together
+	kinds         map[KindID]*mean
+	heard         int64   // when any last answered
+	quick         float64 // the usual answer time of quiet moments; 0: unknown
+	out           int     // shots out
+	answers, pace float64 // since the last tick; a second
+	sent          int     // shots in this door's life
+	firsts        float64 // of the first ones, answered
+	fails         int     // counter calls failed in a row
+	resume        int64   // when a tripped breaker lets a trial call pass
+	trial         bool    // the trial call is out
+	part          float64 // of the transactions that call, while a crowded counter answers only some
+	askAgain      int64   // wait before the list is asked for again
 }
 
 // customer is what this door knows of a customer: of its quota, and of the limits that the door holds by
@@ -113,6 +115,7 @@
 	sent        int64
 	level       float64 // shots out at the backend from here, this one too
 	out, harmed bool    // still out; may have run
+	overdue     bool    // past patience
 	early       bool    // one of the first of the door's life
 }
 
