Reckon counts together only where the doors' turns at righting them fit the window

Change: the plain window count also where the doors' turns take over a quarter of the window. Hurts customers near their rate there, who are dismissed late in a window.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -82,7 +82,7 @@
 		return t
 	}
 	t.profile, t.plan = &g.profiles[pr], &g.plans[pl]
-	t.customer = g.customer(now, c, t.plan, t.entries)
+	t.customer = g.customer(now, c, t)
 	t.limit = now + max(left, 0)
 	t.promised = min(now+t.profile.Promised, t.limit)
 	doors := max(g.terms.Doors, 1)
@@ -106,8 +106,8 @@
 	return t
 }
 
-func (g *Gate) customer(now int64, id CustomerID, p *plan, entries float64) *customer {
-	c := g.customers[id]
+func (g *Gate) customer(now int64, id CustomerID, t *Transaction) *customer {
+	c, p := g.customers[id], t.plan
 	if c == nil {
 		c = &customer{id: id, plan: p, filled: g.born, at: now}
 		g.customers[id] = c
@@ -116,7 +116,7 @@
 	if c.plan != p {
 		c.plan, c.name, c.known, c.owed = p, 0, 0, 0
 	}
-	c.close = p.quota >= entries
+	c.close = p.quota >= t.entries && 4*t.entries*float64(t.profile.wait) <= float64(p.window)
 	c.turn(now)
 	return c
 }
@@ -167,8 +167,9 @@
 	c.start, c.name = start, CountID(mix(own+uint64(shifted/w)))
 }
 
-// refilled is what the rate has given since the window's start. Where a customer's doors outnumber the units
-// of a window, none knows what is to be carried, and the plain count of the design holds: all tries, afresh.
+// refilled is what the rate has given since the window's start. Where a customer's doors outnumber a window's
+// units, or take over a quarter of it to right a count in turn, none knows in time what is to be carried, and
+// the plain count of the design holds: all tries, afresh in each window.
 func (c *customer) refilled(now, start int64) float64 {
 	if !c.close {
 		return 0
@@ -224,8 +225,7 @@
 func (g *Gate) mayCall(now int64) bool {
 	if g.fails < breakAt {
 		return g.terms.Counter && (g.part >= 1 || g.chance.Float64() < g.part)
-	}
-	if g.trial || now < g.resume {
+	} else if g.trial || now < g.resume {
 		return false
 	}
 	g.trial = true
