--- a/policy/policy.go
+++ b/policy/policy.go
@@ -634,7 +634,7 @@
 			b.pace, b.strikes, b.errors, b.rest = mean{}, 0, 0, 0
 		}
 		b.zone, b.group, b.started, b.ready = l.Zone, l.Group, l.Started, l.Stage == Ready
-		b.size = max(l.Size, 0)
+		b.size = cmp.Or(max(l.Size, 0), 1) // unlisted sizes are alike
 		if g.kinds[l.Kind] == nil {
 			g.kinds[l.Kind] = &mean{}
 		}
