--- a/cmd/drill/host.go
+++ b/cmd/drill/host.go
@@ -2,8 +2,8 @@
 
 import (
 	"fmt"
-	"math"
 
+	"fawnplank/internal/config"
 	"fawnplank/internal/wire"
 	"fawnplank/policy"
 )
@@ -29,9 +29,8 @@
 var outcomes = map[uint16]policy.Outcome{100: policy.Fulfilled, 301: policy.Errored, 302: policy.Rejected,
 	303: policy.TimedOut, 304: policy.Unreached, 305: policy.CutOff, 306: policy.Recalled, 307: policy.Moot}
 
-// ns and msec turn the wire's milliseconds into nanoseconds and back. Nothing on the wire reaches the bound
-// of a thousand hours but absurd settings, which must not overflow.
-func ns(ms float64) int64   { return int64(math.Round(min(max(ms, -3.6e9), 3.6e9) * 1e6)) }
+// ns and msec turn the wire's milliseconds into nanoseconds and back.
+func ns(ms float64) int64   { return config.Nanoseconds(ms) }
 func msec(ns int64) float64 { return float64(ns) / 1e6 }
 
 // host holds the front doors of this process, which share nothing but the reply.
@@ -220,7 +219,7 @@
 func whole(x float64) int { return int(min(max(x, 0), 1e9)) }
 
 func (h *host) create(now int64, number uint32, seed uint64, text []byte) {
-	terms, err := readTerms(text)
+	terms, err := config.Terms(text)
 	if err != nil {
 		h.broken(number, err.Error())
 		return
--- /dev/null
+++ b/cmd/fawnplank/main.go
@@ -0,0 +1,152 @@
+// Command fawnplank is a front door: it takes clients' transactions, checks each against its customer's quota
+// and sends it to a backend. This file only reads the command line, puts the parts together and stops them.
+package main
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/spf13/pflag"
+
+	"fawnplank/internal/backend"
+	"fawnplank/internal/config"
+	"fawnplank/internal/counter"
+	"fawnplank/internal/discovery"
+	"fawnplank/internal/facade"
+	"fawnplank/internal/front"
+	"fawnplank/policy"
+)
+
+// version is the release; a build may set it with -ldflags "-X main.version=...".
+var version = "0.1.0-dev"
+
+const usage = `usage: fawnplank COMMAND [flags]
+
+  serve    run a front door until SIGTERM
+  check    read the configuration, and say what is wrong with it
+  version  print the version
+
+Flags of serve and check:
+`
+
+func main() {
+	if err := run(os.Args[1:]); err != nil {
+		fmt.Fprintln(os.Stderr, "fawnplank:", err)
+		os.Exit(1)
+	}
+}
+
+func run(words []string) error {
+	flags := pflag.NewFlagSet("fawnplank", pflag.ContinueOnError)
+	path := flags.StringP("config", "c", "", "configuration file (default: the one that GW_CONFIG names)")
+	level := flags.String("log-level", "info", "least level of what is logged: error, warning, info or debug")
+	flags.Usage = func() { fmt.Fprint(os.Stderr, usage+flags.FlagUsages()) }
+	if err := flags.Parse(words); errors.Is(err, pflag.ErrHelp) {
+		return nil
+	} else if err != nil {
+		return err
+	}
+	least, err := logrus.ParseLevel(*level)
+	if err != nil {
+		return fmt.Errorf("--log-level: %w", err)
+	}
+	logrus.SetLevel(least)
+	if flags.NArg() != 1 {
+		flags.Usage()
+		return errors.New("one command is needed")
+	}
+	switch flags.Arg(0) {
+	case "version":
+		fmt.Println("fawnplank", version, runtime.Version())
+		return nil
+	case "check":
+		start, err := config.Read(*path)
+		if err != nil {
+			return err
+		}
+		fmt.Printf("%s: in order; %d profiles, %d plans, front door %d of %d\n", start.Name,
+			len(start.Profiles), len(start.Plans), start.Terms.Me, start.Terms.Doors)
+		return nil
+	case "serve":
+		start, err := config.Read(*path)
+		if err != nil {
+			return err
+		}
+		return serve(start)
+	}
+	flags.Usage()
+	return fmt.Errorf("unknown command %q", flags.Arg(0))
+}
+
+// serve runs a front door until it is told to stop.
+func serve(start *config.Start) error {
+	// All runs on one core: more threads would only take turns. The collector keeps below the memory limit,
+	// which leaves a quarter for what it does not see, and runs seldom, since little is held.
+	runtime.GOMAXPROCS(1)
+	debug.SetMemoryLimit(start.MemoryBytes * 3 / 4)
+	debug.SetGCPercent(400)
+
+	// Descriptors: some for the listener, discovery, the counter's connections and probes; the rest in halves,
+	// so that neither clients nor backends starve the other.
+	const own = 48
+	part := (start.Sockets - own) / 2
+
+	f := facade.New()
+	pool := backend.New(part, time.Duration(start.ConnectTimeout), time.Duration(start.IdleConnection), f.Probed)
+	count := counter.New(f, start.Counter, time.Duration(start.ConnectTimeout))
+	list := discovery.New(f, pool, start)
+	f.Run(start.Seed, start.Terms, count, pool, list)
+	if err := list.Known(start.Known); err != nil {
+		return fmt.Errorf("configuration: %w", err)
+	}
+	if !start.Terms.ListOnRequest {
+		list.Follow()
+	}
+
+	listener, err := net.Listen("tcp", start.Listen)
+	if err != nil {
+		return fmt.Errorf("configuration: listen: %w", err)
+	}
+	server := front.New(f, pool, start, part)
+	told := make(chan os.Signal, 1)
+	signal.Notify(told, syscall.SIGTERM, os.Interrupt)
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(listener) }()
+	logrus.Infof("%s: front door %d of %d listens on %s", start.Name, start.Terms.Me, start.Terms.Doors,
+		start.Listen)
+	select {
+	case err := <-served:
+		return err
+	case <-told:
+	}
+	stop(server, listener, start.Terms)
+	return nil
+}
+
+// stop goes on serving while new connections may still come, up to 0.4 s after the signal; then it ends
+// connections between transactions, and returns once all that was taken is answered, or its time is up.
+func stop(server *front.Server, listener net.Listener, terms policy.Terms) {
+	logrus.Info("stopping")
+	time.Sleep(450 * time.Millisecond)
+	// What is waiting to be accepted has been taken in by this machine: it is accepted first.
+	listener.(*net.TCPListener).SetDeadline(time.Now().Add(20 * time.Millisecond))
+	time.Sleep(30 * time.Millisecond)
+	server.Close()
+	listener.Close()
+	var longest int64
+	for _, p := range terms.Profiles {
+		longest = max(longest, p.HardLimit)
+	}
+	for until := time.Now().Add(time.Duration(longest)); server.Connections() > 0 && time.Now().Before(until); {
+		time.Sleep(10 * time.Millisecond)
+	}
+	logrus.Info("stopped")
+}
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,137 @@
+// Package config is the one place where configuration is read, checked and given its defaults: what a front
+// door is told at its start (this file) and the terms of its service (terms.go, for the adapter too). Every
+// fault names the key. It must never decide anything, and nothing else may read the environment or a file.
+package config
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+
+	"fawnplank/policy"
+)
+
+// Start is what a front door is told at its start.
+type Start struct {
+	Name, Listen, Discovery, Counter string
+	Seed                             uint64
+	MemoryBytes                      int64
+	Sockets                          int
+	Known                            json.RawMessage // the list of backends in discovery's form, as last had
+	Terms                            policy.Terms
+	Profiles                         map[string]policy.ProfileID
+	Plans                            map[string]policy.PlanID
+	Zones, Kinds                     []string
+	IdleConnection                   int64 // after which a backend closes a connection
+	ConnectTimeout                   int64
+}
+
+// Defaults of what the settings may leave out: the example figures of the deployment page, and of the
+// settings for connections.
+const (
+	defaultMemoryMB  = 192
+	defaultSockets   = 1024
+	defaultIdleMs    = 15000
+	defaultConnectMs = 250
+)
+
+// Read reads the configuration from the file path, or from the file that GW_CONFIG names where path is
+// empty. GW_NAME, GW_LISTEN and GW_DISCOVERY stand in for keys that the file leaves out.
+func Read(path string) (*Start, error) {
+	if path == "" {
+		path = os.Getenv("GW_CONFIG")
+	}
+	if path == "" {
+		return nil, errors.New("configuration: no file: neither a flag nor GW_CONFIG names one")
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("configuration: %w", err)
+	}
+	s, err := parse(text, os.Getenv)
+	if err != nil {
+		return nil, fmt.Errorf("configuration %s: %w", path, err)
+	}
+	return s, nil
+}
+
+func parse(text []byte, env func(string) string) (*Start, error) {
+	var raw map[string]json.RawMessage
+	if err := json.Unmarshal(text, &raw); err != nil {
+		return nil, fmt.Errorf("no JSON object: %w", err)
+	}
+	var fault error
+	top := object{"", nil, &fault}
+	if err := json.Unmarshal(text, &top.m); err != nil {
+		return nil, fmt.Errorf("no JSON object: %w", err)
+	}
+	for key, name := range map[string]string{"name": "GW_NAME", "listen": "GW_LISTEN",
+		"discovery": "GW_DISCOVERY"} {
+		if _, there := top.m[key]; !there && env(name) != "" {
+			top.m[key] = env(name)
+		}
+	}
+	limits, settings := top.in("limits", false), top.in("settings", true)
+	s := &Start{Name: get[string](top, "name", true), Listen: top.address("listen", true),
+		Discovery: top.address("discovery", true), Known: raw["known"], Terms: readTerms(settings),
+		MemoryBytes: int64(count(limits.or("memory_mb", defaultMemoryMB))) << 20,
+		Sockets:     count(limits.or("sockets", defaultSockets)),
+		Profiles:    map[string]policy.ProfileID{}, Plans: map[string]policy.PlanID{},
+		Zones: settings.texts("zones"), Kinds: settings.texts("shapes")}
+	if seed, err := strconv.ParseUint(get[string](top, "seed", true), 16, 64); err == nil {
+		s.Seed = seed
+	} else {
+		top.fault("seed", "is no hexadecimal number of 64 bits")
+	}
+	s.Counter = top.address("counter", s.Terms.Counter)
+	allowed := settings.in("permissions", true)
+	s.IdleConnection = Nanoseconds(allowed.or("conn-idle-ms", defaultIdleMs))
+	s.ConnectTimeout = Nanoseconds(allowed.or("connect-timeout-ms", defaultConnectMs))
+	for n, l := range settings.rows("lanes") {
+		s.Profiles[get[string](l, "name", true)] = policy.ProfileID(n)
+	}
+	for n, p := range settings.rows("tariffs") {
+		s.Plans[get[string](p, "name", true)] = policy.PlanID(n)
+	}
+	const fewest = 64 // the program's own, and a few for either side
+	if s.Sockets < fewest {
+		limits.fault("sockets", fmt.Sprintf("is below %d", fewest))
+	}
+	return s, fault
+}
+
+// or is a number with a default; one that is there must be above zero.
+func (o object) or(key string, usual float64) float64 {
+	if _, there := o.m[key]; !there {
+		return usual
+	}
+	x := o.need(key)
+	if x <= 0 {
+		o.fault(key, "is not above 0")
+	}
+	return x
+}
+
+func (o object) texts(key string) []string {
+	var all []string
+	for n, x := range get[[]any](o, key, false) {
+		t, ok := x.(string)
+		if !ok {
+			o.fault(fmt.Sprintf("%s[%d]", key, n), "is no text")
+		}
+		all = append(all, t)
+	}
+	return all
+}
+
+// address is a host and port to listen on or to connect to.
+func (o object) address(key string, must bool) string {
+	at := get[string](o, key, must)
+	if _, port, err := net.SplitHostPort(at); at != "" && (err != nil || port == "") {
+		o.fault(key, fmt.Sprintf("is %q, which is no host and port", at))
+	}
+	return at
+}
--- a/cmd/drill/terms.go
+++ b/internal/config/terms.go
@@ -1,4 +1,4 @@
-package main
+package config
 
 import (
 	"encoding/json"
@@ -8,6 +8,10 @@
 	"fawnplank/policy"
 )
 
+// Nanoseconds turns milliseconds into the decisions' unit. The bound of a thousand hours is met by absurd
+// figures alone, which must not overflow.
+func Nanoseconds(ms float64) int64 { return int64(math.Round(min(max(ms, -3.6e9), 3.6e9) * 1e6)) }
+
 // object is a JSON object of the settings; path names it in messages.
 type object struct {
 	path string
@@ -68,13 +72,18 @@
 // count gives a whole number that fits.
 func count(x float64) int { return int(math.Round(min(max(x, 0), 1e9))) }
 
-// readTerms turns the settings into the terms of a front door.
-func readTerms(text []byte) (policy.Terms, error) {
+// Terms turns the settings into the terms of a front door.
+func Terms(text []byte) (policy.Terms, error) {
 	var fault error
 	top := object{"", nil, &fault}
 	if err := json.Unmarshal(text, &top.m); err != nil {
 		return policy.Terms{}, fmt.Errorf("settings: no JSON object: %w", err)
 	}
+	terms := readTerms(top)
+	return terms, fault
+}
+
+func readTerms(top object) policy.Terms {
 	family, allowed := top.in("family-info", false), top.in("permissions", true)
 	rules := top.in("invariants", true)
 	terms := policy.Terms{
@@ -82,17 +91,18 @@
 		Zone:      policy.ZoneID(count(top.num("my-zone"))),
 		MostShots: count(allowed.need("send-cap")), SecondCopies: allowed.yes("second-copies"),
 		Recalls: allowed.yes("cancelling"), Probes: allowed.yes("probes"), Advice: allowed.yes("retry-after"),
-		LongestAdvice: ns(allowed.num("max-retry-after-ms")),
-		Counter:       family.yes("may-count"), CounterTimeout: ns(family.num("counter-timeout-ms")),
+		LongestAdvice: Nanoseconds(allowed.num("max-retry-after-ms")),
+		Counter:       family.yes("may-count"), CounterTimeout: Nanoseconds(family.num("counter-timeout-ms")),
 		PostPaid: family.yes("post-paid"), ListOnRequest: top.text("discovery") == "on_request",
-		AskWithin: ns(rules.num("ask-within-ms")),
-		ColdShare: rules.need("cold-share"), WarmUp: ns(rules.need("warm-up-ms")),
-		FallMultiple: rules.need("tip-multiple"), FallSpan: ns(rules.need("fall-ms")),
+		AskWithin: Nanoseconds(rules.num("ask-within-ms")),
+		ColdShare: rules.need("cold-share"), WarmUp: Nanoseconds(rules.need("warm-up-ms")),
+		FallMultiple: rules.need("tip-multiple"), FallSpan: Nanoseconds(rules.need("fall-ms")),
 		CrossZonePrice: top.in("prices", false).num("cross-zone"),
 	}
 	for _, l := range top.rows("lanes") {
-		p := policy.ProfileTerms{Promised: ns(l.need("goal-time-ms")), HardLimit: ns(l.need("deadline-ms")),
-			LateUtility: l.num("late-worth"), Memory: ns(l.num("window-ms"))}
+		p := policy.ProfileTerms{Promised: Nanoseconds(l.need("goal-time-ms")),
+			HardLimit:   Nanoseconds(l.need("deadline-ms")),
+			LateUtility: l.num("late-worth"), Memory: Nanoseconds(l.num("window-ms"))}
 		p.Effect = word(l, "effect", map[string]policy.Effect{"read_like": policy.Reissuable,
 			"idempotency_key": policy.Numbered, "non_idempotent": policy.AtMostOnce})
 		if p.Effect == policy.Numbered {
@@ -106,5 +116,5 @@
 			Parallel: count(p.num("parallel")), CeilingRate: p.num("cap-rate"), CeilingBurst: p.num("ceiling-burst"),
 			BeyondEarns: p.num("beyond-earns"), BeyondCosts: p.num("beyond-costs")})
 	}
-	return terms, fault
+	return terms
 }
--- /dev/null
+++ b/internal/discovery/discovery.go
@@ -0,0 +1,233 @@
+// Package discovery follows the list of backends. It owns the watch and turns names into the ids that the
+// decisions know; it tells the backends' connections of addresses before anything may be sent there. It must
+// never decide what a change means, and keeps the last list through an outage.
+package discovery
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"fawnplank/internal/config"
+	"fawnplank/policy"
+)
+
+const (
+	waitMs = 20000 // how long a watch waits for news: the protocol's example
+	// patience is how long an answer may be late before the call is made anew: what discovery has to tell
+	// counts as told two seconds after a wait ends.
+	patience = time.Second
+	// again is the pause after a failed call: shorter than the 200 ms in which a watch goes on.
+	again = 100 * time.Millisecond
+	// mostBytes bounds a list: some ten thousand lines.
+	mostBytes = 4 << 20
+)
+
+// Told is told the list.
+type Told interface {
+	Backends(how policy.Listing, list []policy.Listed)
+}
+
+// Addresses is told where a backend listens.
+type Addresses interface {
+	Place(b policy.BackendID, address string, gone bool)
+}
+
+// Client follows the list.
+type Client struct {
+	told      Told
+	addresses Addresses
+	base      string
+	onRequest bool
+	http      http.Client
+	zones     words[policy.ZoneID]
+	kinds     words[policy.KindID]
+	ids       map[string]policy.BackendID
+	names     map[policy.BackendID]string
+	begin     sync.Once
+	wanted    chan struct{}
+	index     int64
+}
+
+// words numbers names: those of the settings first, others as they come.
+type words[T ~uint8 | ~uint16] map[string]T
+
+func (w words[T]) id(name string) T {
+	id, ok := w[name]
+	if !ok {
+		id = T(len(w))
+		w[name] = id
+	}
+	return id
+}
+
+// New makes a client.
+func New(told Told, addresses Addresses, s *config.Start) *Client {
+	c := &Client{told: told, addresses: addresses, base: "http://" + s.Discovery + "/v1/endpoints",
+		onRequest: s.Terms.ListOnRequest, zones: words[policy.ZoneID]{}, kinds: words[policy.KindID]{},
+		ids: map[string]policy.BackendID{}, names: map[policy.BackendID]string{}, wanted: make(chan struct{}, 1)}
+	for _, z := range s.Zones {
+		c.zones.id(z)
+	}
+	for _, k := range s.Kinds {
+		c.kinds.id(k)
+	}
+	return c
+}
+
+// list is discovery's form of a list.
+type list struct {
+	Index     int64 `json:"index"`
+	Snapshot  bool  `json:"snapshot"`
+	Endpoints []struct {
+		Name    string  `json:"name"`
+		Address string  `json:"address"`
+		Zone    string  `json:"zone"`
+		Type    string  `json:"type"`
+		Group   uint16  `json:"group"`
+		Status  string  `json:"status"`
+		Weight  float64 `json:"weight"`
+		SinceMs float64 `json:"since_ms"`
+	} `json:"endpoints"`
+}
+
+// Known tells the list that the front door last had.
+func (c *Client) Known(text []byte) error {
+	if len(text) == 0 {
+		return nil
+	}
+	l, err := parse(text)
+	if err != nil {
+		return fmt.Errorf("known: %w", err)
+	}
+	c.tell(policy.Cached, l)
+	return nil
+}
+
+func parse(text []byte) (*list, error) {
+	var l list
+	if err := json.Unmarshal(text, &l); err != nil {
+		return nil, err
+	}
+	for _, e := range l.Endpoints {
+		if _, _, err := net.SplitHostPort(e.Address); e.Name == "" || err != nil && e.Status != "removed" {
+			return nil, fmt.Errorf("entry with name %q and address %q", e.Name, e.Address)
+		}
+	}
+	return &l, nil
+}
+
+var stages = map[string]policy.Stage{"up": policy.Ready, "draining": policy.Draining, "removed": policy.Gone}
+
+func (c *Client) tell(how policy.Listing, l *list) {
+	lines := make([]policy.Listed, len(l.Endpoints))
+	for n, e := range l.Endpoints {
+		stage, ok := stages[e.Status]
+		if !ok {
+			logrus.Warnf("backend %s has unknown status %q: taken for draining", e.Name, e.Status)
+		}
+		lines[n] = policy.Listed{Backend: c.id(e.Name), Zone: c.zones.id(e.Zone), Kind: c.kinds.id(e.Type),
+			Group: policy.GroupID(e.Group), Size: e.Weight, Stage: stage,
+			Started: int64(e.SinceMs * 1e6)}
+		c.addresses.Place(lines[n].Backend, e.Address, stage == policy.Gone)
+	}
+	c.index = l.Index
+	c.told.Backends(how, lines)
+}
+
+// id is the same at every front door, which the decisions need: a hash of the name. Where two names meet, the
+// later one takes the next free number: front doors may then differ, which costs evenness alone.
+func (c *Client) id(name string) policy.BackendID {
+	if id, ok := c.ids[name]; ok {
+		return id
+	}
+	h := fnv.New32a()
+	io.WriteString(h, name)
+	id := policy.BackendID(h.Sum32())
+	for c.names[id] != "" {
+		id++
+	}
+	c.ids[name], c.names[id] = id, name
+	return id
+}
+
+// Follow asks for the list and its changes from now on. Where the list must be asked for, a failure is told,
+// and the decisions say when to ask again; elsewhere the client asks again by itself.
+func (c *Client) Follow() {
+	c.begin.Do(func() { go c.run() })
+	select {
+	case c.wanted <- struct{}{}:
+	default:
+	}
+}
+
+func (c *Client) run() {
+	whole := true
+	for {
+		<-c.wanted
+		for {
+			err := c.call(&whole)
+			if err == nil {
+				continue
+			}
+			logrus.Warnf("discovery: %v", err)
+			whole = true // the watch is broken
+			if c.onRequest {
+				c.told.Backends(policy.ListFailed, nil)
+				break
+			}
+			time.Sleep(again)
+		}
+	}
+}
+
+// call makes one call, for the whole list or for what is new since the last, and tells what came.
+func (c *Client) call(whole *bool) (err error) {
+	defer func() {
+		if x := recover(); x != nil {
+			err = fmt.Errorf("panic: %v", x)
+		}
+	}()
+	url, wait := c.base, time.Duration(0)
+	if !*whole {
+		url, wait = fmt.Sprintf("%s?index=%d&wait=%d", c.base, c.index, waitMs), waitMs*time.Millisecond
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), wait+patience)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, "GET", url, nil)
+	if err != nil {
+		return err
+	}
+	answer, err := c.http.Do(request)
+	if err != nil {
+		return err
+	}
+	defer answer.Body.Close()
+	text, err := io.ReadAll(io.LimitReader(answer.Body, mostBytes))
+	if err != nil {
+		return err
+	}
+	if answer.StatusCode != http.StatusOK {
+		return errors.New(answer.Status)
+	}
+	l, err := parse(text)
+	if err != nil {
+		return err
+	}
+	*whole = false
+	how := policy.Changes
+	if l.Snapshot {
+		how = policy.Whole
+	}
+	c.tell(how, l)
+	return nil
+}
--- a/internal/due/due.go
+++ b/internal/due/due.go
@@ -52,3 +52,6 @@
 	}
 	return heap.Pop(&q.items).(item[T]).what, true
 }
+
+// First gives the earliest thing without removing it; the queue must not be empty.
+func (q *Queue[T]) First() T { return q.items[0].what }
--- /dev/null
+++ b/internal/facade/facade.go
@@ -0,0 +1,359 @@
+// Package facade wraps the decisions of policy.Gate in calls that block: a transaction is taken, its next step
+// picked, the end of a shot reported. It owns the lock round the gate, the clock, the timers and the handles of
+// open transactions, and it alone sees the gate's events and actions. It must never decide anything itself, and
+// never wait for the network under its lock.
+package facade
+
+import (
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"fawnplank/internal/due"
+	"fawnplank/policy"
+)
+
+// Counter is what the facade needs of the counter. Bump must not block; Flush sends what was bumped.
+type Counter interface {
+	Bump(name policy.CountID, units float64, lifetime int64)
+	Flush()
+}
+
+// Prober tests a backend and brings the outcome to Facade.Probed. It must not block.
+type Prober interface{ Probe(b policy.BackendID) }
+
+// Follower starts to follow the list of backends. It must not block.
+type Follower interface{ Follow() }
+
+// Line is the connection that a shot is out on. Drop gives the shot up; it does nothing once the line has
+// gone on to another.
+type Line interface{ Drop(s *Shot) }
+
+// Facade is one front door's gate with its clock and timers.
+type Facade struct {
+	mu        sync.Mutex
+	gate      *policy.Gate
+	epoch     int64     // Unix time at the start
+	start     time.Time // the same moment on the monotonic clock
+	counter   Counter
+	prober    Prober
+	follower  Follower
+	open      map[policy.TransactionID]*Transaction
+	last      policy.TransactionID
+	due       due.Queue[dueEntry]
+	timer     *time.Timer
+	armed     int64 // when the timer goes off; 0: not set
+	ended     []ending
+	bumped    bool
+	probes    []policy.BackendID
+	mostShots int
+	stopped   chan struct{}
+}
+
+// dueEntry is a wake that the gate asked for, or the end of a shot's time.
+type dueEntry struct {
+	mark uint64
+	shot *Shot
+}
+
+// ending is the end of a shot that was called off, told to the gate once it has returned.
+type ending struct {
+	shot    *Shot
+	outcome policy.Outcome
+}
+
+// New makes a facade; Run starts it.
+func New() *Facade {
+	f := &Facade{start: time.Now(), open: map[policy.TransactionID]*Transaction{}, stopped: make(chan struct{})}
+	f.epoch = f.start.UnixNano()
+	f.timer = time.NewTimer(time.Hour)
+	return f
+}
+
+// Run starts the decisions and the timers.
+func (f *Facade) Run(seed uint64, terms policy.Terms, c Counter, p Prober, l Follower) {
+	f.counter, f.prober, f.follower, f.mostShots = c, p, l, terms.MostShots
+	f.do(func(now int64) { f.gate = policy.New(now, seed, terms, door{f}) })
+	go f.tick()
+}
+
+// Stop ends the timers.
+func (f *Facade) Stop() { close(f.stopped) }
+
+// now is Unix time at the start plus the monotonic time since: all front doors name the same windows, and no
+// step of the system's clock can turn time back.
+func (f *Facade) now() int64 { return f.epoch + int64(time.Since(f.start)) }
+
+// Open tells how many transactions are open.
+func (f *Facade) Open() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.open)
+}
+
+// do runs one call into the gate under the lock, and then, without it, what the gate asked of the network. A
+// panic passes on to the connection that brought the call, and leaves the lock free.
+func (f *Facade) do(what func(now int64)) {
+	bumped, probes := f.locked(what)
+	if bumped {
+		f.counter.Flush()
+	}
+	for _, b := range probes {
+		f.prober.Probe(b)
+	}
+}
+
+func (f *Facade) locked(what func(now int64)) (bumped bool, probes []policy.BackendID) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	what(f.now())
+	for len(f.ended) > 0 { // shots that the gate called off: it is told once it has returned
+		e := f.ended[0]
+		f.ended = f.ended[1:]
+		f.settle(e.shot, e.outcome, 0)
+	}
+	f.arm()
+	bumped, probes = f.bumped, f.probes
+	f.bumped, f.probes = false, nil
+	return bumped, probes
+}
+
+// arm sets the timer for the earliest due time that still matters.
+func (f *Facade) arm() {
+	next, ok := f.due.Next()
+	for ok && f.due.First().dead() {
+		f.due.Take(next)
+		next, ok = f.due.Next()
+	}
+	if ok && next != f.armed {
+		f.armed = next
+		f.timer.Reset(time.Duration(next - f.now()))
+	}
+}
+
+func (e dueEntry) dead() bool { return e.shot != nil && e.shot.settled }
+
+// tick waits for the timer and does what is due.
+func (f *Facade) tick() {
+	for {
+		select {
+		case <-f.timer.C:
+		case <-f.stopped:
+			return
+		}
+		f.whatIsDue()
+	}
+}
+
+func (f *Facade) whatIsDue() {
+	defer func() {
+		if x := recover(); x != nil {
+			logrus.Errorf("panic in what was due: %v\n%s", x, debug.Stack())
+		}
+	}()
+	f.do(func(now int64) {
+		f.armed = 0
+		for e, ok := f.due.Take(now); ok; e, ok = f.due.Take(f.now()) {
+			if e.shot == nil {
+				f.gate.Wake(f.now(), e.mark)
+			} else if !e.shot.settled {
+				f.settle(e.shot, e.shot.stop(policy.TimedOut), 0)
+			}
+		}
+	})
+}
+
+// Backends brings the list of backends, or changes to it.
+func (f *Facade) Backends(how policy.Listing, list []policy.Listed) {
+	f.do(func(now int64) { f.gate.Backends(now, how, list) })
+}
+
+// Counted brings the answer to the oldest unanswered call for the count.
+func (f *Facade) Counted(name policy.CountID, total float64, err error) {
+	f.do(func(now int64) { f.gate.Counted(now, outcome(err), name, total) })
+}
+
+// Probed brings the answer to a probe.
+func (f *Facade) Probed(b policy.BackendID, err error) {
+	f.do(func(now int64) { f.gate.Probed(now, b, outcome(err)) })
+}
+
+// door is the facade as the gate sees it; the lock is held in all its calls.
+type door struct{ *Facade }
+
+func (d door) Shoot(id policy.TransactionID, b policy.BackendID, expire int64) {
+	t := d.open[id]
+	until := t.limit
+	if expire > 0 {
+		until = min(until, expire)
+	}
+	s := &Shot{Backend: b, t: t, number: policy.ShotID(len(t.shots)), sent: d.now(), until: until}
+	t.shots = append(t.shots, s)
+	d.due.Add(until, dueEntry{shot: s})
+	t.steps <- Step{Do: Send, Shot: s}
+}
+
+func (d door) Recall(id policy.TransactionID, n policy.ShotID) {
+	if t := d.open[id]; t != nil && int(n) < len(t.shots) && !t.shots[n].settled {
+		s := t.shots[n]
+		d.ended = append(d.ended, ending{s, s.stop(policy.Recalled)})
+	}
+}
+
+func (d door) Dismiss(id policy.TransactionID, comeBack int64) {
+	d.open[id].end(Step{Do: Dismiss, ComeBack: comeBack})
+}
+
+func (d door) BreakOff(id policy.TransactionID) { d.open[id].end(Step{Do: BreakOff}) }
+
+func (d door) Wake(at int64, mark uint64) { d.due.Add(at, dueEntry{mark: mark}) }
+
+func (d door) Count(c policy.CountID, units float64, lifetime int64) {
+	d.counter.Bump(c, units, lifetime)
+	d.bumped = true
+}
+
+func (d door) Probe(b policy.BackendID) { d.probes = append(d.probes, b) }
+func (d door) Follow()                  { d.follower.Follow() }
+func (d door) Note(text string)         { logrus.Warn(text) }
+
+// Shot is one sending of a transaction to a backend.
+type Shot struct {
+	Backend policy.BackendID
+	t       *Transaction
+	number  policy.ShotID
+	sent    int64
+	until   int64
+	settled bool // by the facade's lock
+	state   atomic.Uint32
+	line    Line
+}
+
+// A shot's states. Only one of Begin and stop gets it out of waiting.
+const (
+	waiting uint32 = iota
+	begun
+	calledOff
+)
+
+// Begin says that the shot's first byte is about to be written. Where it gives false the shot has been called
+// off, and nothing may be written.
+func (s *Shot) Begin(l Line) bool {
+	s.line = l
+	return s.state.CompareAndSwap(waiting, begun)
+}
+
+// Left is how long the shot's answer will be waited for.
+func (s *Shot) Left() time.Duration { return time.Duration(s.until - s.t.f.now()) }
+
+// stop calls the shot off. Its outcome is then o, unless it was never written.
+func (s *Shot) stop(o policy.Outcome) policy.Outcome {
+	if s.state.CompareAndSwap(waiting, calledOff) {
+		return policy.Unreached
+	}
+	s.line.Drop(s)
+	return o
+}
+
+// Report tells how the shot ended: with an answer, which the facade keeps, or an error. trueUnits is what the
+// transaction really counted, where the backend says so.
+func (s *Shot) Report(answer []byte, trueUnits float64, err error) {
+	f := s.t.f
+	f.do(func(int64) {
+		if s.settled {
+			return
+		}
+		o := outcome(err)
+		if o == policy.Fulfilled && !s.t.ended {
+			s.t.end(Step{Do: Fulfil, Answer: answer})
+		}
+		f.settle(s, o, trueUnits)
+	})
+}
+
+// settle tells the gate how a shot ended.
+func (f *Facade) settle(s *Shot, o policy.Outcome, trueUnits float64) {
+	if s.settled {
+		return
+	}
+	s.settled = true
+	now := f.now()
+	s.t.handle.Settled(now, s.number, o, now-s.sent, s.t.ended, trueUnits)
+	s.t.keep()
+}
+
+// Action is what a step asks for.
+type Action uint8
+
+const (
+	Send     Action = iota // the shot, to its backend
+	Fulfil                 // with the answer
+	Dismiss                // with the advice to come back
+	BreakOff               // with no promise
+	Leave                  // the client is gone: nothing is owed
+)
+
+// Step is what is to be done next for a transaction. All but Send are final.
+type Step struct {
+	Do       Action
+	Shot     *Shot
+	Answer   []byte
+	ComeBack int64
+}
+
+// Transaction is one that was taken.
+type Transaction struct {
+	f      *Facade
+	id     policy.TransactionID
+	handle *policy.Transaction
+	limit  int64
+	shots  []*Shot
+	steps  chan Step // has room for all steps there can be
+	ended  bool
+}
+
+// Take takes a transaction.
+func (f *Facade) Take(pr policy.ProfileID, pl policy.PlanID, c policy.CustomerID, left time.Duration,
+	units float64, entries, first int) *Transaction {
+	t := &Transaction{f: f, steps: make(chan Step, f.mostShots+1)}
+	f.do(func(now int64) {
+		f.last++
+		t.id, t.limit = f.last, now+int64(left)
+		f.open[t.id] = t
+		t.handle = f.gate.Take(now, t.id, pr, pl, c, int64(left), units, entries, first)
+		t.keep()
+	})
+	return t
+}
+
+// Pick waits for the next step.
+func (t *Transaction) Pick() Step { return <-t.steps }
+
+// Leave tells that the client is gone.
+func (t *Transaction) Leave() {
+	t.f.do(func(now int64) {
+		if !t.ended {
+			t.end(Step{Do: Leave})
+			t.handle.Left(now)
+			t.keep()
+		}
+	})
+}
+
+// end passes the final step on; only the first counts.
+func (t *Transaction) end(s Step) {
+	if !t.ended {
+		t.ended = true
+		t.steps <- s
+	}
+}
+
+// keep forgets the transaction once nothing more can come for it.
+func (t *Transaction) keep() {
+	if t.handle.Done() {
+		delete(t.f.open, t.id)
+	}
+}
