Socket calls made raw, so that the runtime's monitor does not take the processor

Cause: with one processor the runtime's monitor takes it from every call of over 20 us (retake in proc.go: no idle processor, so no grace), hands it to another thread, and wakes every 20 us in the millisecond after. The net package still waits; only the calls are ours. What is left: two timers a try make a third of the wakes.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -14,6 +14,7 @@
 	"github.com/tidwall/redcon"
 
 	"fawnplank/internal/facade"
+	"fawnplank/internal/sock"
 	"fawnplank/policy"
 )
 
@@ -46,7 +47,7 @@
 type conn struct {
 	pool *Pool
 	peer *peer
-	nc   net.Conn
+	nc   *sock.Conn
 	mu   sync.Mutex
 	shot *facade.Shot // out on it
 	came facade.Stage
@@ -124,7 +125,7 @@
 
 // Send sends a shot: the parts of a command, which must stay as they are until the shot is over. The shot is
 // told how it ended.
-func (p *Pool) Send(s *facade.Shot, command net.Buffers) {
+func (p *Pool) Send(s *facade.Shot, command [][]byte) {
 	c, to, err := p.take(s.Backend)
 	switch {
 	case err != nil:
@@ -152,7 +153,7 @@
 
 // dial opens a connection and starts its reader. Its place was counted by take.
 func (p *Pool) dial(to *peer) (*conn, error) {
-	nc, err := net.DialTimeout("tcp", to.address, p.patient)
+	nc, err := sock.Dial(to.address, p.patient)
 	if err != nil {
 		p.mu.Lock()
 		p.conns--
@@ -166,7 +167,7 @@
 
 // write writes a shot, unless it was called off. What ends first, the writing or the connection, is sorted out
 // here: before the last byte was written nothing ran.
-func (c *conn) write(s *facade.Shot, command net.Buffers) {
+func (c *conn) write(s *facade.Shot, command [][]byte) {
 	c.mu.Lock()
 	if c.down {
 		c.mu.Unlock()
@@ -184,7 +185,7 @@
 	for _, part := range command {
 		whole += len(part)
 	}
-	n, err := command.WriteTo(c.nc)
+	n, err := c.nc.WriteParts(command...)
 	c.mu.Lock()
 	if c.shot != s { // answered or called off meanwhile
 		c.mu.Unlock()
--- a/internal/counter/counter.go
+++ b/internal/counter/counter.go
@@ -14,6 +14,7 @@
 	"github.com/sirupsen/logrus"
 
 	"fawnplank/internal/facade"
+	"fawnplank/internal/sock"
 	"fawnplank/policy"
 )
 
@@ -50,11 +51,11 @@
 // line is one connection.
 type line struct {
 	c       *Client
-	conn    net.Conn // nil: not up yet
-	buf     []byte   // not written yet
-	unsent  int      // the calls in it
-	calls   []call   // unanswered, in order
-	writing bool     // somebody is at it
+	conn    *sock.Conn // nil: not up yet
+	buf     []byte     // not written yet
+	unsent  int        // the calls in it
+	calls   []call     // unanswered, in order
+	writing bool       // somebody is at it
 	gone    bool
 }
 
@@ -156,7 +157,7 @@
 			l.end(errors.New("panic"))
 		}
 	}()
-	conn, err := net.DialTimeout("tcp", l.c.address, l.c.patient)
+	conn, err := sock.Dial(l.c.address, l.c.patient)
 	l.c.mu.Lock()
 	if err == nil && l.gone {
 		conn.Close()
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -21,6 +21,7 @@
 	"fawnplank/internal/backend"
 	"fawnplank/internal/config"
 	"fawnplank/internal/facade"
+	"fawnplank/internal/sock"
 	"fawnplank/policy"
 )
 
@@ -70,7 +71,12 @@
 }
 
 // add takes a connection in; where there are too many, the one that has been quiet the longest goes.
-func (s *Server) add(nc net.Conn) {
+func (s *Server) add(raw net.Conn) {
+	nc, err := sock.New(raw.(*net.TCPConn))
+	if err != nil { // it has ended already
+		raw.Close()
+		return
+	}
 	c := &client{server: s, nc: nc, quiet: time.Now()}
 	c.room = sync.NewCond(&c.mu)
 	s.mu.Lock()
@@ -124,7 +130,7 @@
 // client is a client's connection.
 type client struct {
 	server *Server
-	nc     net.Conn
+	nc     *sock.Conn
 	mu     sync.Mutex
 	line   []*command // not answered yet, in their order
 	held   int        // bytes of them
@@ -336,14 +342,14 @@
 }
 
 // parts is the command with d as long as the shot will be waited for, in gathered pieces.
-func (k *command) parts(left time.Duration) net.Buffers {
+func (k *command) parts(left time.Duration) [][]byte {
 	ms := max(int64(left/time.Millisecond), 1)
 	wait := strconv.AppendInt(make([]byte, 0, 24), ms, 10)
 	listed := k.list[1] - k.list[0] + len(wait) - (k.wait[1] - k.wait[0])
 	// The line with the list's length ends two bytes before the list, and begins at its dollar.
 	dollar := bytes.LastIndexByte(k.raw[:k.list[0]], '$')
 	size := append(strconv.AppendInt(make([]byte, 0, 24), int64(listed), 10), "\r\n"...)
-	return net.Buffers{k.raw[:dollar+1], size, k.raw[k.list[0]:k.wait[0]], wait, k.raw[k.wait[1]:]}
+	return [][]byte{k.raw[:dollar+1], size, k.raw[k.list[0]:k.wait[0]], wait, k.raw[k.wait[1]:]}
 }
 
 // answerNow answers a command that needs no more than a line.
--- /dev/null
+++ b/internal/sock/sock.go
@@ -0,0 +1,142 @@
+// Package sock reads and writes TCP connections of the net package by raw system calls. It owns nothing but
+// the way a call is made, and must never block: the sockets are non-blocking, and waiting is left to net.
+//
+// Why: an ordinary call tells Go's scheduler that it may block. With one processor the runtime's monitor then
+// takes the processor from any call over 20 microseconds, as writes over loopback often are, starts another
+// thread for it, and itself wakes 50 times in the millisecond after. Those were most system calls of a front
+// door. A raw call keeps the processor for as long as the kernel copies some bytes.
+package sock
+
+import (
+	"io"
+	"net"
+	"os"
+	"syscall"
+	"time"
+	"unsafe"
+)
+
+// Conn is a TCP connection. One goroutine may read while another writes.
+type Conn struct {
+	*net.TCPConn
+	raw syscall.RawConn
+
+	read  func(fd uintptr) bool
+	in    []byte
+	inN   int
+	inErr syscall.Errno
+
+	write  func(fd uintptr) bool
+	out    [6]syscall.Iovec
+	parts  int
+	outN   int64
+	outErr syscall.Errno
+}
+
+// New wraps a connection.
+func New(nc *net.TCPConn) (*Conn, error) {
+	raw, err := nc.SyscallConn()
+	if err != nil {
+		return nil, err
+	}
+	c := &Conn{TCPConn: nc, raw: raw}
+	c.read, c.write = c.tryRead, c.tryWrite
+	return c, nil
+}
+
+// Dial opens a connection.
+func Dial(address string, patient time.Duration) (*Conn, error) {
+	nc, err := net.DialTimeout("tcp", address, patient)
+	if err != nil {
+		return nil, err
+	}
+	c, err := New(nc.(*net.TCPConn))
+	if err != nil {
+		nc.Close()
+	}
+	return c, err
+}
+
+func (c *Conn) tryRead(fd uintptr) bool {
+	for {
+		n, _, errno := syscall.RawSyscall(syscall.SYS_READ, fd, uintptr(unsafe.Pointer(&c.in[0])),
+			uintptr(len(c.in)))
+		switch errno {
+		case syscall.EINTR:
+			continue
+		case syscall.EAGAIN:
+			return false
+		}
+		c.inN, c.inErr = int(n), errno
+		return true
+	}
+}
+
+// Read reads what is there, and waits if that is nothing.
+func (c *Conn) Read(b []byte) (int, error) {
+	c.in = b
+	err := c.raw.Read(c.read)
+	c.in = nil
+	switch {
+	case err != nil:
+		return 0, err
+	case c.inErr != 0:
+		return 0, os.NewSyscallError("read", c.inErr)
+	case c.inN == 0:
+		return 0, io.EOF
+	}
+	return c.inN, nil
+}
+
+// tryWrite writes on until all is written or the socket is full.
+func (c *Conn) tryWrite(fd uintptr) bool {
+	first := 0
+	for first < c.parts {
+		n, _, errno := syscall.RawSyscall(syscall.SYS_WRITEV, fd, uintptr(unsafe.Pointer(&c.out[first])),
+			uintptr(c.parts-first))
+		switch errno {
+		case 0:
+		case syscall.EINTR:
+			continue
+		case syscall.EAGAIN:
+			copy(c.out[:], c.out[first:c.parts])
+			c.parts -= first
+			return false
+		default:
+			c.outErr = errno
+			return true
+		}
+		c.outN += int64(n)
+		for ; first < c.parts && uint64(n) >= c.out[first].Len; first++ {
+			n -= uintptr(c.out[first].Len)
+		}
+		if n > 0 {
+			c.out[first].Base = (*byte)(unsafe.Add(unsafe.Pointer(c.out[first].Base), n))
+			c.out[first].Len -= uint64(n)
+		}
+	}
+	return true
+}
+
+// WriteParts writes the parts one behind another, at most six, and tells how many bytes of them went out.
+func (c *Conn) WriteParts(parts ...[]byte) (int64, error) {
+	c.parts, c.outN, c.outErr = 0, 0, 0
+	for _, p := range parts {
+		if len(p) > 0 {
+			c.out[c.parts] = syscall.Iovec{Base: &p[0], Len: uint64(len(p))}
+			c.parts++
+		}
+	}
+	err := c.raw.Write(c.write)
+	clear(c.out[:])
+	if err == nil && c.outErr != 0 {
+		err = os.NewSyscallError("writev", c.outErr)
+	}
+	return c.outN, err
+}
+
+// Write writes b.
+func (c *Conn) Write(b []byte) (int, error) {
+	n, err := c.WriteParts(b)
+	return int(n), err
+}
