Timers that have become needless wake nobody

The counter's wait and a shot's patience are nearly always over by an answer first; their tasks now carry what makes them needless, and the facade keeps the latest wake alone.

--- a/internal/due/due.go
+++ b/internal/due/due.go
@@ -37,8 +37,11 @@
 	heap.Push(&q.items, item[T]{at, q.turn, what})
 }
 
-// Next tells the earliest time in the queue.
-func (q *Queue[T]) Next() (at int64, ok bool) {
+// Next tells the earliest time in the queue; what is needless by now is dropped on the way.
+func (q *Queue[T]) Next(needless func(T) bool) (at int64, ok bool) {
+	for len(q.items) > 0 && needless(q.items[0].what) {
+		heap.Pop(&q.items)
+	}
 	if len(q.items) == 0 {
 		return 0, false
 	}
@@ -52,6 +55,3 @@
 	}
 	return heap.Pop(&q.items).(item[T]).what, true
 }
-
-// First gives the earliest thing without removing it; the queue must not be empty.
-func (q *Queue[T]) First() T { return q.items[0].what }
--- a/internal/facade/facade.go
+++ b/internal/facade/facade.go
@@ -45,7 +45,8 @@
 	last      policy.TransactionID
 	due       due.Queue[dueEntry]
 	timer     *time.Timer
-	armed     int64 // when the timer goes off; 0: not set
+	mark      uint64 // of the latest wake asked for; those before are needless
+	armed     int64  // when the timer goes off; 0: not set
 	ended     []ending
 	bumped    bool
 	probes    []policy.BackendID
@@ -123,18 +124,15 @@
 
 // arm sets the timer for the earliest due time that still matters.
 func (f *Facade) arm() {
-	next, ok := f.due.Next()
-	for ok && f.due.First().dead() {
-		f.due.Take(next)
-		next, ok = f.due.Next()
-	}
-	if ok && next != f.armed {
+	if next, ok := f.due.Next(f.needless); ok && next != f.armed {
 		f.armed = next
 		f.timer.Reset(time.Duration(next - f.now()))
 	}
 }
 
-func (e dueEntry) dead() bool { return e.shot != nil && e.shot.settled }
+func (f *Facade) needless(e dueEntry) bool {
+	return e.shot != nil && e.shot.settled || e.shot == nil && e.mark != 0 && e.mark != f.mark
+}
 
 // tick waits for the timer and does what is due.
 func (f *Facade) tick() {
@@ -157,9 +155,11 @@
 	f.do(func(now int64) {
 		f.armed = 0
 		for e, ok := f.due.Take(now); ok; e, ok = f.due.Take(f.now()) {
-			if e.shot == nil {
+			switch {
+			case f.needless(e):
+			case e.shot == nil:
 				f.gate.Wake(f.now(), e.mark)
-			} else if !e.shot.settled {
+			default:
 				f.settle(e.shot, e.shot.stop(policy.TimedOut), 0)
 			}
 		}
@@ -209,7 +209,12 @@
 
 func (d door) BreakOff(id policy.TransactionID) { d.open[id].end(Step{Do: BreakOff}) }
 
-func (d door) Wake(at int64, mark uint64) { d.due.Add(at, dueEntry{mark: mark}) }
+func (d door) Wake(at int64, mark uint64) {
+	if mark != 0 {
+		d.mark = mark
+	}
+	d.due.Add(at, dueEntry{mark: mark})
+}
 
 func (d door) Count(c policy.CountID, units float64, lifetime int64) {
 	d.counter.Bump(c, units, lifetime)
--- a/policy/api.go
+++ b/policy/api.go
@@ -138,7 +138,8 @@
 	// Dismiss tells the client that trying again is harmless, after comeBack if that is above 0.
 	Dismiss(t TransactionID, comeBack int64)
 	BreakOff(t TransactionID)
-	// Wake asks for a call of Gate.Wake with the same mark at the time at or soon after.
+	// Wake asks for a call of Gate.Wake with the same mark at the time at or soon after. One with a mark above
+	// 0 takes the place of all such before it; a call for those does nothing.
 	Wake(at int64, mark uint64)
 	// Count adds units to a number that all front doors share; Gate.Counted brings the answer.
 	Count(c CountID, units float64, lifetime int64)
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -128,7 +128,7 @@
 	if c.plan.CeilingRate > 0 {
 		rest = max(rest, span(c.plan.CeilingBurst/c.plan.CeilingRate))
 	}
-	g.at(now+rest, func(now int64) {
+	g.at(now+rest, nil, func(now int64) {
 		delete(g.customers, c.id)
 		if c.out > 0 || now-max(c.at, c.filled) < rest {
 			g.customers[c.id] = c
@@ -197,10 +197,8 @@
 	// A crowded counter hears of a part of the transactions only: each stands for the others let in too.
 	k := g.count(now, c, t, t.units*(1+(1/max(g.part, 0.2)-1)*t.chance()), c.owed)
 	c.owed = 0
-	g.at(now+min(t.profile.wait, (t.limit-now)/2), func(now int64) {
-		if k.waits {
-			k.answered(g, now, false, t.share(now))
-		}
+	g.at(now+min(t.profile.wait, (t.limit-now)/2), &k.waits, func(now int64) {
+		k.answered(g, now, false, t.share(now))
 	})
 }
 
@@ -471,7 +469,7 @@
 func (t *Transaction) harmless() bool {
 	p := t.profile
 	return p.Effect == Reissuable || p.Effect == Numbered && p.Reach == ReachAll ||
-		!slices.ContainsFunc(t.shots, func(s shot) bool { return s.harmed })
+		!slices.ContainsFunc(t.shots, func(s *shot) bool { return s.harmed })
 }
 
 const early = 30 // first shots of a door that tell the answer time of quiet moments: enough to average
@@ -482,7 +480,7 @@
 		return false
 	}
 	g, n := t.gate, len(t.shots)
-	t.shots = append(t.shots, shot{to: b, zone: b.zone, group: b.group, sent: now, out: true, harmed: true})
+	t.shots = append(t.shots, &shot{to: b, zone: b.zone, group: b.group, sent: now, out: true, harmed: true})
 	t.out++
 	t.customer.out++
 	b.out++
@@ -499,17 +497,14 @@
 		expire = now + patience // nothing else makes room for another shot
 	}
 	g.door.Shoot(t.id, b.id, expire)
-	g.at(now+patience, func(now int64) { t.look(now, n) })
+	g.at(now+patience, &t.shots[n].out, func(now int64) { t.look(now, n) })
 	return true
 }
 
 // look asks whether a shot that takes long is stalled: its backend has answered nothing since. Guards against
 // backends that hang, stand still or are cut off. Hurts when a transaction is merely long: work done twice.
 func (t *Transaction) look(now int64, n int) {
-	s, g := &t.shots[n], t.gate
-	if !s.out {
-		return
-	}
+	s, g := t.shots[n], t.gate
 	s.overdue = true
 	if g.out--; t.over || t.started {
 		return
@@ -543,7 +538,7 @@
 	if int(n) >= len(t.shots) || !t.shots[n].out {
 		return
 	}
-	s, g := &t.shots[n], t.gate
+	s, g := t.shots[n], t.gate
 	s.out, s.harmed = false, o != Rejected && o != Unreached && o != Moot
 	t.out--
 	t.customer.out--
@@ -613,7 +608,7 @@
 // Backends brings the list of backends, or changes to it.
 func (g *Gate) Backends(now int64, how Listing, list []Listed) {
 	if how == ListFailed {
-		g.at(now+g.askAgain, func(int64) { g.door.Follow() })
+		g.at(now+g.askAgain, nil, func(int64) { g.door.Follow() })
 		g.askAgain = min(g.askAgain*2, max(g.terms.AskWithin/2, 500*ms))
 		return
 	}
@@ -761,7 +756,7 @@
 	b.strikes++
 	b.rest = now + 100*ms<<min(b.strikes, 5) // 0.2 to 3.2 s: a short stall costs little, a dead one few tries
 	if g.terms.Probes {
-		g.at(b.rest, func(now int64) {
+		g.at(b.rest, nil, func(now int64) {
 			if b.ready && b.strikes > 0 && now >= b.rest {
 				b.rest = now + sec // until the probe tells; a lost one ends by itself
 				g.door.Probe(b.id)
--- a/policy/state.go
+++ b/policy/state.go
@@ -50,7 +50,7 @@
 	plans         []plan
 	chance        *pcg.Source
 	born          int64
-	due           due.Queue[func(now int64)]
+	due           due.Queue[task]
 	woken         int64  // the time of the earliest wake asked for; 0: none
 	wakes         uint64 // its number
 	backends      map[BackendID]*backend
@@ -132,7 +132,7 @@
 	promised, limit       int64
 	asking                bool // the counter
 	inside, over, started bool
-	shots                 []shot
+	shots                 []*shot
 	out                   int
 }
 
@@ -160,9 +160,18 @@
 	key, due float64 // of its rank
 }
 
-// at calls what at the time when, or soon after.
-func (g *Gate) at(when int64, what func(now int64)) {
-	g.due.Add(when, what)
+// task is something to do at its time, unless while (where there is one) says by then that it is needless.
+type task struct {
+	while *bool
+	what  func(now int64)
+}
+
+func (t task) needless() bool { return t.while != nil && !*t.while }
+
+// at calls what at the time when, or soon after, if while still holds. Most of what is set for a transaction
+// is needless by then, and nothing wakes for it.
+func (g *Gate) at(when int64, while *bool, what func(now int64)) {
+	g.due.Add(when, task{while, what})
 	if g.woken == 0 || when < g.woken {
 		g.wakeAt(when)
 	}
@@ -183,16 +192,14 @@
 	if mark != g.wakes {
 		return // an earlier one has been asked for since
 	}
-	for {
-		what, ok := g.due.Take(now)
-		if !ok {
-			break
+	for t, ok := g.due.Take(now); ok; t, ok = g.due.Take(now) {
+		if !t.needless() {
+			t.what(now)
 		}
-		what(now)
 	}
 	g.woken = 0
 	// A clock coarser than ours may wake a little early: then this asks again for the same time.
-	if next, ok := g.due.Next(); ok {
+	if next, ok := g.due.Next(task.needless); ok {
 		g.wakeAt(max(next, now+1))
 	}
 }
