--- a/cmd/fawnplank/main.go
+++ b/cmd/fawnplank/main.go
@@ -69,6 +69,9 @@
 		return nil
 	case "check":
 		start, err := config.Read(*path)
+		if err == nil {
+			err = discovery.Check(start.Known)
+		}
 		if err != nil {
 			return err
 		}
@@ -139,13 +142,15 @@
 	// What is waiting to be accepted has been taken in by this machine: it is accepted first.
 	listener.(*net.TCPListener).SetDeadline(time.Now().Add(20 * time.Millisecond))
 	time.Sleep(30 * time.Millisecond)
-	server.Close()
 	listener.Close()
 	var longest int64
 	for _, p := range terms.Profiles {
 		longest = max(longest, p.HardLimit)
 	}
-	for until := time.Now().Add(time.Duration(longest)); server.Connections() > 0 && time.Now().Before(until); {
+	for until := time.Now().Add(time.Duration(longest)); time.Now().Before(until); {
+		if server.Close(); server.Connections() == 0 {
+			break
+		}
 		time.Sleep(10 * time.Millisecond)
 	}
 	logrus.Info("stopped")
--- /dev/null
+++ b/cmd/fawnplank/main_test.go
@@ -0,0 +1,149 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/tidwall/redcon"
+)
+
+// TestMain lets the test's own binary be the program.
+func TestMain(m *testing.M) {
+	if os.Getenv("FAWNPLANK_AS_MAIN") != "" {
+		main()
+		return
+	}
+	os.Exit(m.Run())
+}
+
+func program(words ...string) *exec.Cmd {
+	c := exec.Command(os.Args[0], words...)
+	c.Env = append(os.Environ(), "FAWNPLANK_AS_MAIN=1")
+	return c
+}
+
+const configuration = `{"name":"n0","listen":%q,"discovery":%q,"seed":"8c1f30d27a5be964","limits":{"memory_mb":64,"sockets":128},
+	"known":{"index":1,"snapshot":true,"endpoints":[{"name":"s-1","address":%q,"zone":"a","type":"m2","group":1,
+	"status":"up","weight":1.0,"since_ms":0}]},
+	"settings":{"me":0,"replicas-of-me":1,"zones":["a"],"shapes":["m2"],"permissions":{"send-cap":3,"second-copies":true},
+	"invariants":{"cold-share":0.2,"warm-up-ms":9000,"tip-multiple":2,"fall-ms":1000},
+	"lanes":[{"name":"lookup","goal-time-ms":750,"deadline-ms":1500,"effect":"read_like"}],
+	"tariffs":[{"name":"team","quota-rate":0,"peak-units":0}]}}`
+
+func TestCommandLine(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "config.json")
+	text := fmt.Sprintf(configuration, "127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3")
+	os.WriteFile(file, []byte(text), 0o600)
+	bad := file + ".bad"
+	os.WriteFile(bad, []byte(strings.Replace(text, `"me":0`, `"me":"x"`, 1)), 0o600)
+	known := file + ".known"
+	os.WriteFile(known, []byte(strings.Replace(text, `"name":"s-1"`, `"name":""`, 1)), 0o600)
+	for _, x := range []struct {
+		words, want string
+		fails       bool
+	}{
+		{"version", "fawnplank", false}, {"check -c " + file, "n0: in order", false}, {"--help", "serve", false},
+		{"check -c " + bad, "settings.me", true}, {"serve -c " + bad, "settings.me", true},
+		{"check -c " + known, "known", true}, {"serve -c " + known, "known", true}, {"check", "GW_CONFIG", true},
+		{"", "one command", true}, {"dance", "unknown command", true}, {"serve --log-level loud", "log-level", true},
+	} {
+		out, err := program(strings.Fields(x.words)...).CombinedOutput()
+		if (err != nil) != x.fails || !strings.Contains(string(out), x.want) {
+			t.Errorf("%s: %v, %q", x.words, err, out)
+		}
+	}
+}
+
+// After SIGTERM the program goes on serving while clients may still come, answers what it took, and exits.
+func TestServeUntilTerminated(t *testing.T) {
+	shots := make(chan net.Conn, 10)
+	backend, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer backend.Close()
+	go func() {
+		for {
+			c, err := backend.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				for r := redcon.NewReader(c); ; {
+					if _, err := r.ReadCommand(); err != nil {
+						return
+					}
+					shots <- c
+				}
+			}()
+		}
+	}()
+	discovery := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { <-r.Context().Done() }))
+	defer discovery.CloseClientConnections()
+	free, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := free.Addr().String()
+	free.Close()
+	file := filepath.Join(t.TempDir(), "config.json")
+	os.WriteFile(file, []byte(fmt.Sprintf(configuration, address, strings.TrimPrefix(discovery.URL, "http://"),
+		backend.Addr())), 0o600)
+	c := program("serve", "-c", file)
+	log, _ := c.StderrPipe()
+	if err := c.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer c.Process.Kill()
+	lines := bufio.NewScanner(log)
+	for lines.Scan() && !strings.Contains(lines.Text(), "listens") {
+	}
+	go io.Copy(io.Discard, log)
+
+	const query = "*4\r\n$9\r\nSVC.QUERY\r\n$1\r\n5\r\n$1\r\n1\r\n$22\r\nc=lookup,t=team,d=1400\r\n"
+	ask := func() net.Conn {
+		conn, err := net.Dial("tcp", address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		conn.SetDeadline(time.Now().Add(5 * time.Second))
+		io.WriteString(conn, query)
+		return conn
+	}
+	answered := func(conn, shot net.Conn) {
+		t.Helper()
+		io.WriteString(shot, "*3\r\n$2\r\nok\r\n$-1\r\n$-1\r\n")
+		got, err := io.ReadAll(conn) // up to its end, once the program stops
+		if string(got) != "$2\r\nok\r\n" || err != nil {
+			t.Errorf("%q, %v", got, err)
+		}
+	}
+	before := ask()
+	shot := <-shots
+	c.Process.Signal(syscall.SIGTERM)
+	time.Sleep(250 * time.Millisecond)
+	during := ask()
+	other := <-shots
+	time.Sleep(400 * time.Millisecond) // by now it takes in nobody new
+	if conn, err := net.Dial("tcp", address); err == nil {
+		conn.Close()
+		t.Error("takes in connections after its time")
+	}
+	answered(before, shot)
+	answered(during, other)
+	start := time.Now()
+	if err := c.Wait(); err != nil || time.Since(start) > 3*time.Second {
+		t.Errorf("exit: %v after %v", err, time.Since(start))
+	}
+}
--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -5,8 +5,10 @@
 
 import (
 	"bytes"
+	"cmp"
 	"errors"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -31,7 +33,7 @@
 	most    int           // connections at once
 	probed  func(b policy.BackendID, err error)
 
-	mu    sync.Mutex
+	mu    sync.Mutex // of all that follows, and of every connection's state
 	peers map[policy.BackendID]*peer
 	conns int
 }
@@ -40,6 +42,7 @@
 type peer struct {
 	address string
 	warm    []*conn // the latest used last
+	gone    bool
 }
 
 // conn is a connection; one shot is out on it at a time. Its reader is always at work, so that a warm one that
@@ -48,9 +51,8 @@
 	pool *Pool
 	peer *peer
 	nc   *sock.Conn
-	mu   sync.Mutex
 	shot *facade.Shot // out on it
-	came facade.Stage
+	came facade.Stage // how far it has come
 	used time.Time
 	down bool
 }
@@ -62,62 +64,60 @@
 		peers: map[policy.BackendID]*peer{}}
 }
 
-// Place says where a backend listens, or that it is gone.
-func (p *Pool) Place(b policy.BackendID, address string, gone bool) {
+// Place says where a backend listens.
+func (p *Pool) Place(b policy.BackendID, address string) {
 	p.mu.Lock()
-	old := p.peers[b]
-	switch {
-	case old != nil && (gone || old.address != address):
-		delete(p.peers, b)
-	case old != nil:
-		old = nil
-	}
-	if !gone && p.peers[b] == nil {
+	defer p.mu.Unlock()
+	if old := p.peers[b]; old == nil || old.address != address {
+		p.drop(b)
 		p.peers[b] = &peer{address: address}
 	}
-	var idle []*conn
-	if old != nil {
-		idle, old.warm = old.warm, nil
-	}
-	p.mu.Unlock()
-	for _, c := range idle {
-		c.close()
+}
+
+// Forget drops a backend that is gone. Shots out there stay out.
+func (p *Pool) Forget(b policy.BackendID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.drop(b)
+}
+
+func (p *Pool) drop(b policy.BackendID) {
+	if old := p.peers[b]; old != nil {
+		old.gone = true
+		for len(old.warm) > 0 {
+			old.warm[0].close()
+		}
+		delete(p.peers, b)
 	}
 }
 
 // take gives a warm connection, or room for a new one.
 func (p *Pool) take(b policy.BackendID) (c *conn, to *peer, err error) {
-	var stale []*conn
 	p.mu.Lock()
-	defer func() {
-		p.mu.Unlock()
-		for _, c := range stale {
-			c.close()
-		}
-	}()
+	defer p.mu.Unlock()
 	to = p.peers[b]
 	if to == nil {
 		return nil, nil, errors.New("no address known")
 	}
 	now := time.Now()
 	for len(to.warm) > 0 && now.Sub(to.warm[0].used) > p.idle {
-		stale, to.warm = append(stale, to.warm[0]), to.warm[1:]
+		to.warm[0].close()
 	}
 	if n := len(to.warm); n > 0 {
 		c, to.warm = to.warm[n-1], to.warm[:n-1]
 		return c, to, nil
 	}
 	if p.conns >= p.most {
-		oldest := (*peer)(nil)
-		for _, other := range p.peers { // any of the oldest will do
-			if len(other.warm) > 0 && (oldest == nil || other.warm[0].used.Before(oldest.warm[0].used)) {
-				oldest = other
+		var oldest *conn
+		for _, other := range p.peers { // of two as old, either will do
+			if len(other.warm) > 0 && (oldest == nil || other.warm[0].used.Before(oldest.used)) {
+				oldest = other.warm[0]
 			}
 		}
 		if oldest == nil {
 			return nil, to, errCrowded
 		}
-		stale, oldest.warm = append(stale, oldest.warm[0]), oldest.warm[1:]
+		oldest.close()
 	}
 	p.conns++
 	return nil, to, nil
@@ -168,95 +168,79 @@
 // write writes a shot, unless it was called off. What ends first, the writing or the connection, is sorted out
 // here: before the last byte was written nothing ran.
 func (c *conn) write(s *facade.Shot, command [][]byte) {
-	c.mu.Lock()
-	if c.down {
-		c.mu.Unlock()
+	p := c.pool
+	p.mu.Lock()
+	switch {
+	case c.down:
+		p.mu.Unlock()
 		s.Report(nil, 0, &facade.Fault{Came: facade.Dialling, Err: net.ErrClosed})
 		return
-	}
-	if !s.Begin(c) {
-		c.mu.Unlock()
+	case !s.Begin(c):
 		c.rest()
+		p.mu.Unlock()
 		return
 	}
 	c.shot, c.came = s, facade.Writing
-	c.mu.Unlock()
-	whole := 0
+	p.mu.Unlock()
+	whole := int64(0)
 	for _, part := range command {
-		whole += len(part)
+		whole += int64(len(part))
 	}
 	n, err := c.nc.WriteParts(command...)
-	c.mu.Lock()
-	if c.shot != s { // answered or called off meanwhile
-		c.mu.Unlock()
+	p.mu.Lock()
+	if c.shot != s { // answered meanwhile
+		p.mu.Unlock()
 		return
 	}
-	c.came = facade.Written
-	if n < int64(whole) {
-		c.came = facade.Writing
+	if n == whole {
+		c.came = facade.Written
 	}
 	if err == nil && !c.down {
-		c.mu.Unlock()
+		p.mu.Unlock()
 		return
 	}
-	if err == nil {
-		err = net.ErrClosed
-	}
-	fault := &facade.Fault{Came: c.came, Err: err}
+	fault := &facade.Fault{Came: c.came, Err: cmp.Or(err, net.ErrClosed)}
 	c.shot = nil
-	c.mu.Unlock()
 	c.close()
+	p.mu.Unlock()
 	s.Report(nil, 0, fault)
 }
 
-// Drop gives up the shot, if it is still out here, by closing the connection.
-func (c *conn) Drop(s *facade.Shot) {
-	c.mu.Lock()
-	out := c.shot == s
-	if out {
-		c.shot = nil
+// Drop gives up the shot, if it is still out here, by closing the connection. It tells whether the shot's end
+// is still to be reported: while it is being written, only its writer learns how far it came.
+func (c *conn) Drop(s *facade.Shot) (reports bool) {
+	c.pool.mu.Lock()
+	defer c.pool.mu.Unlock()
+	if c.shot != s {
+		return false
 	}
-	c.mu.Unlock()
-	if out {
-		c.close()
+	c.close()
+	if c.came == facade.Writing {
+		return true
 	}
+	c.shot = nil
+	return false
 }
 
-// rest puts a connection with nothing out on it among the warm ones.
+// rest puts a connection with nothing out on it among the warm ones. The pool's lock is held.
 func (c *conn) rest() {
-	p := c.pool
-	p.mu.Lock()
-	known := false
-	if !c.down {
-		for _, to := range p.peers {
-			known = known || to == c.peer
-		}
-	}
-	if known {
+	if c.peer.gone {
+		c.close()
+	} else if !c.down {
 		c.used = time.Now()
 		c.peer.warm = append(c.peer.warm, c)
 	}
-	p.mu.Unlock()
-	if !known {
-		c.close()
-	}
 }
 
-// close ends the connection and takes it from the warm ones.
+// close ends the connection and takes it from the warm ones. The pool's lock is held.
 func (c *conn) close() {
-	p := c.pool
-	p.mu.Lock()
-	defer p.mu.Unlock()
 	if c.down {
 		return
 	}
 	c.down = true
-	p.conns--
-	for n, w := range c.peer.warm {
-		if w == c {
-			c.peer.warm = append(c.peer.warm[:n], c.peer.warm[n+1:]...)
-			break
-		}
+	c.pool.conns--
+	if n := slices.Index(c.peer.warm, c); n >= 0 {
+		c.peer.warm = slices.Delete(c.peer.warm, n, n+1)
 	}
 	c.nc.Close()
 }
@@ -264,7 +248,11 @@
 // read reads answers until the connection ends.
 func (c *conn) read() {
 	defer stopPanic()
-	defer c.close()
+	defer func() {
+		c.pool.mu.Lock()
+		defer c.pool.mu.Unlock()
+		c.close()
+	}()
 	buf, held := make([]byte, 4096), 0
 	for {
 		n, err := c.nc.Read(buf[held:])
@@ -314,30 +302,32 @@
 
 // answered passes an answer on; false says that there was no shot for it.
 func (c *conn) answered(value []byte, err error, rest bool) bool {
-	c.mu.Lock()
+	p := c.pool
+	p.mu.Lock()
 	s := c.shot
 	c.shot = nil
-	c.mu.Unlock()
-	if s == nil {
-		return false
-	}
-	if rest {
+	if s != nil && rest {
 		c.rest()
 	}
-	s.Report(value, 0, err)
-	return true
+	p.mu.Unlock()
+	if s != nil {
+		s.Report(value, 0, err)
+	}
+	return s != nil
 }
 
 // over tells that the connection has ended. A shot that is just being written is left to its writer.
 func (c *conn) over(held int, err error) {
-	c.mu.Lock()
+	p := c.pool
+	p.mu.Lock()
+	c.close()
 	s, came := c.shot, c.came
 	if s == nil || came == facade.Writing {
-		c.mu.Unlock()
+		p.mu.Unlock()
 		return
 	}
 	c.shot = nil
-	c.mu.Unlock()
+	p.mu.Unlock()
 	if held > 0 {
 		came = facade.Answering
 	}
--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,88 @@
+package config
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"fawnplank/policy"
+)
+
+const good = `{"name":"n3","listen":"127.0.0.1:6379","discovery":"127.0.0.1:8500","seed":"8c1f30d27a5be964",
+	"limits":{"cores":1.0,"memory_mb":192,"sockets":1024},"counter":"127.0.0.1:6400",
+	"known":{"index":41,"snapshot":true,"endpoints":[]},
+	"settings":{"me": 1, "replicas-of-me": 3, "zones": ["a"], "shapes": ["m2"], "discovery": "on_request",
+	"family-info": {"may-count": true, "counter-timeout-ms": 80, "post-paid": true},
+	"permissions": {"send-cap": 3, "cancelling": true, "conn-idle-ms": 9000, "connect-timeout-ms": 100},
+	"invariants": {"cold-share": 0.2, "warm-up-ms": 9000, "tip-multiple": 2, "fall-ms": 1000, "ask-within-ms": 5},
+	"lanes": [{"name": "lookup", "goal-time-ms": 750, "deadline-ms": 2000, "effect": "idempotency_key",
+		"group": "cell", "window-ms": 5000}],
+	"tariffs": [{"name": "team", "quota-rate": 2, "peak-units": 5, "parallel": 4, "cap-rate": 9}]}}`
+
+func none(string) string { return "" }
+
+func TestConfigurationIsReadWhole(t *testing.T) {
+	s, err := parse([]byte(good), none)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p, plan := s.Terms.Profiles[s.Profiles["lookup"]], s.Terms.Plans[s.Plans["team"]]
+	if s.Seed != 0x8c1f30d27a5be964 || s.MemoryBytes != 192<<20 || s.Sockets != 1024 || s.IdleConnection != 9e9 ||
+		s.ConnectTimeout != 1e8 || s.Terms.Me != 1 || s.Terms.Doors != 3 || !s.Terms.PostPaid ||
+		!s.Terms.ListOnRequest || p.Effect != policy.Numbered || p.Reach != policy.ReachGroup ||
+		p.HardLimit != 2e9 || plan.Parallel != 4 || plan.CeilingRate != 9 || s.Zones[0] != "a" {
+		t.Errorf("%+v", s)
+	}
+}
+
+func TestFaultsNameTheKey(t *testing.T) {
+	for want, change := range map[string][2]string{
+		"no JSON object":                 {`{"name"`, `["name"`},
+		"name is missing":                {`"name":"n3",`, ``},
+		"name is of the wrong type":      {`"name":"n3"`, `"name":3`},
+		"listen is \"nowhere\"":          {`"listen":"127.0.0.1:6379"`, `"listen":"nowhere"`},
+		"discovery is missing":           {`"discovery":"127.0.0.1:8500",`, ``},
+		"counter is missing":             {`"counter":"127.0.0.1:6400",`, ``},
+		"seed is no hexadecimal":         {`8c1f30d27a5be964`, `seed`},
+		"limits.sockets is below":        {`"sockets":1024`, `"sockets":8`},
+		"limits.memory_mb is not above":  {`"memory_mb":192`, `"memory_mb":0`},
+		"settings is missing":            {`"settings"`, `"setting"`},
+		"settings.me is missing":         {`"me": 1,`, ``},
+		"settings.lanes[0].effect is":    {`idempotency_key`, `twice`},
+		"settings.lanes[0].group is":     {`"cell"`, `"town"`},
+		"settings.lanes[0].name is miss": {`"name": "lookup",`, ``},
+		"settings.tariffs[0].quota-rate": {`"quota-rate": 2`, `"quota-rate": "x"`},
+		"settings.zones[0] is no text":   {`["a"]`, `[4]`},
+		"settings.permissions.conn-idle": {`"conn-idle-ms": 9000`, `"conn-idle-ms": -1`},
+	} {
+		text := strings.Replace(good, change[0], change[1], 1)
+		if _, err := parse([]byte(text), none); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%q: %v", want, err)
+		}
+	}
+}
+
+func TestDefaultsAndEnvironment(t *testing.T) {
+	text := strings.Replace(good, `"limits":{"cores":1.0,"memory_mb":192,"sockets":1024},`, "", 1)
+	text = strings.Replace(text, `"listen":"127.0.0.1:6379",`, "", 1)
+	path := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	t.Setenv("GW_CONFIG", path)
+	t.Setenv("GW_LISTEN", "127.0.0.9:1")
+	t.Setenv("GW_NAME", "other") // the file's own word goes first
+	s, err := Read("")
+	if err != nil || s.Listen != "127.0.0.9:1" || s.Name != "n3" || s.Sockets != defaultSockets ||
+		s.MemoryBytes != defaultMemoryMB<<20 {
+		t.Errorf("%+v, %v", s, err)
+	}
+	t.Setenv("GW_CONFIG", "")
+	if _, err := Read(""); err == nil {
+		t.Error("no file, no fault")
+	}
+	if _, err := Read(path + "x"); err == nil {
+		t.Error("a missing file, no fault")
+	}
+}
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -10,6 +10,8 @@
 	"fmt"
 	"hash/fnv"
 	"io"
+	"maps"
+	"math"
 	"net"
 	"net/http"
 	"sync"
@@ -39,7 +41,8 @@
 
 // Addresses is told where a backend listens.
 type Addresses interface {
-	Place(b policy.BackendID, address string, gone bool)
+	Place(b policy.BackendID, address string)
+	Forget(b policy.BackendID)
 }
 
 // Client follows the list.
@@ -48,11 +51,12 @@
 	addresses Addresses
 	base      string
 	onRequest bool
-	http      http.Client
+	http      http.Client // of its own: the usual one asks the environment for proxies
 	zones     words[policy.ZoneID]
 	kinds     words[policy.KindID]
 	ids       map[string]policy.BackendID
 	names     map[policy.BackendID]string
+	listed    map[policy.BackendID]bool
 	begin     sync.Once
 	wanted    chan struct{}
 	index     int64
@@ -73,8 +77,9 @@
 // New makes a client.
 func New(told Told, addresses Addresses, s *config.Start) *Client {
 	c := &Client{told: told, addresses: addresses, base: "http://" + s.Discovery + "/v1/endpoints",
-		onRequest: s.Terms.ListOnRequest, zones: words[policy.ZoneID]{}, kinds: words[policy.KindID]{},
-		ids: map[string]policy.BackendID{}, names: map[policy.BackendID]string{}, wanted: make(chan struct{}, 1)}
+		onRequest: s.Terms.ListOnRequest,
+		http:      http.Client{Transport: &http.Transport{IdleConnTimeout: time.Minute, DisableCompression: true}}, zones: words[policy.ZoneID]{}, kinds: words[policy.KindID]{},
+		ids: map[string]policy.BackendID{}, names: map[policy.BackendID]string{}, listed: map[policy.BackendID]bool{}, wanted: make(chan struct{}, 1)}
 	for _, z := range s.Zones {
 		c.zones.id(z)
 	}
@@ -100,19 +105,29 @@
 	} `json:"endpoints"`
 }
 
-// Known tells the list that the front door last had.
-func (c *Client) Known(text []byte) error {
+// Check says what is wrong with a list in discovery's form, such as the one in the configuration.
+func Check(text []byte) error {
 	if len(text) == 0 {
 		return nil
 	}
-	l, err := parse(text)
-	if err != nil {
+	if _, err := parse(text); err != nil {
 		return fmt.Errorf("known: %w", err)
 	}
-	c.tell(policy.Cached, l)
 	return nil
 }
 
+// Known tells the list that the front door last had.
+func (c *Client) Known(text []byte) error {
+	if err := Check(text); err != nil || len(text) == 0 {
+		return err
+	}
+	l, err := parse(text)
+	if err == nil {
+		c.tell(policy.Cached, l)
+	}
+	return err
+}
+
 func parse(text []byte) (*list, error) {
 	var l list
 	if err := json.Unmarshal(text, &l); err != nil {
@@ -129,7 +144,7 @@
 var stages = map[string]policy.Stage{"up": policy.Ready, "draining": policy.Draining, "removed": policy.Gone}
 
 func (c *Client) tell(how policy.Listing, l *list) {
-	lines := make([]policy.Listed, len(l.Endpoints))
+	lines, listed := make([]policy.Listed, len(l.Endpoints)), map[policy.BackendID]bool{}
 	for n, e := range l.Endpoints {
 		stage, ok := stages[e.Status]
 		if !ok {
@@ -137,9 +152,24 @@
 		}
 		lines[n] = policy.Listed{Backend: c.id(e.Name), Zone: c.zones.id(e.Zone), Kind: c.kinds.id(e.Type),
 			Group: policy.GroupID(e.Group), Size: e.Weight, Stage: stage,
-			Started: int64(e.SinceMs * 1e6)}
-		c.addresses.Place(lines[n].Backend, e.Address, stage == policy.Gone)
+			Started: int64(math.Round(e.SinceMs*1e3)) * 1e3}
+		if stage == policy.Gone {
+			c.addresses.Forget(lines[n].Backend)
+			delete(c.listed, lines[n].Backend)
+		} else {
+			c.addresses.Place(lines[n].Backend, e.Address)
+			listed[lines[n].Backend] = true
+		}
 	}
+	if how != policy.Changes {
+		for b := range c.listed {
+			if !listed[b] {
+				c.addresses.Forget(b)
+			}
+		}
+		clear(c.listed)
+	}
+	maps.Copy(c.listed, listed)
 	c.index = l.Index
 	c.told.Backends(how, lines)
 }
@@ -171,15 +201,18 @@
 }
 
 func (c *Client) run() {
-	whole := true
+	whole, failed := true, false
 	for {
 		<-c.wanted
 		for {
 			err := c.call(&whole)
+			if (err != nil) != failed { // once an outage
+				failed = err != nil
+				logrus.Warnf("discovery: fails: %t (%v)", failed, err)
+			}
 			if err == nil {
 				continue
 			}
-			logrus.Warnf("discovery: %v", err)
 			whole = true // the watch is broken
 			if c.onRequest {
 				c.told.Backends(policy.ListFailed, nil)
--- /dev/null
+++ b/internal/discovery/discovery_test.go
@@ -0,0 +1,158 @@
+package discovery
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"fawnplank/internal/config"
+	"fawnplank/policy"
+)
+
+// told is one listing as the facade hears it, with the addresses known by then.
+type told struct {
+	how   policy.Listing
+	list  []policy.Listed
+	known map[policy.BackendID]string
+}
+
+type ear struct {
+	told  chan told
+	known map[policy.BackendID]string
+}
+
+func (e *ear) Place(b policy.BackendID, address string) { e.known[b] = address }
+func (e *ear) Forget(b policy.BackendID)                { delete(e.known, b) }
+func (e *ear) Backends(how policy.Listing, list []policy.Listed) {
+	known := map[policy.BackendID]string{}
+	for b, a := range e.known {
+		known[b] = a
+	}
+	e.told <- told{how, list, known}
+}
+
+func (e *ear) next(t *testing.T) told {
+	t.Helper()
+	select {
+	case x := <-e.told:
+		return x
+	case <-time.After(3 * time.Second):
+		t.Fatal("nothing told")
+		panic("not reached")
+	}
+}
+
+// serve answers each call with the next of the texts; "fail" is an error, and after the last it is silent.
+func serve(t *testing.T, onRequest bool, texts ...string) (*Client, *ear, chan string) {
+	calls, n := make(chan string, 100), 0
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		calls <- r.URL.String()
+		if n++; n > len(texts) {
+			<-r.Context().Done()
+		} else if texts[n-1] == "fail" {
+			w.WriteHeader(500)
+		} else {
+			fmt.Fprint(w, texts[n-1])
+		}
+	}))
+	t.Cleanup(s.CloseClientConnections)
+	e := &ear{make(chan told, 100), map[policy.BackendID]string{}}
+	start := &config.Start{Discovery: strings.TrimPrefix(s.URL, "http://"), Zones: []string{"b", "a"}, Kinds: []string{"m2"}}
+	start.Terms.ListOnRequest = onRequest
+	return New(e, e, start), e, calls
+}
+
+func lines(index int, snapshot bool, entries ...string) string {
+	return fmt.Sprintf(`{"index":%d,"snapshot":%t,"endpoints":[%s]}`, index, snapshot, strings.Join(entries, ","))
+}
+
+func entry(name, status string) string {
+	return fmt.Sprintf(`{"name":%q,"address":"10.1.0.18:6379","zone":"a","type":"m2","group":3,"status":%q,"weight":1.5,
+		"since_ms":1700000000123}`, name, status)
+}
+
+func TestWatchTellsListsAndChanges(t *testing.T) {
+	c, e, calls := serve(t, false, lines(4, true, entry("x", "up"), entry("y", "up")), lines(5, false),
+		lines(6, false, entry("x", "draining")), lines(7, false, entry("x", "removed")), lines(9, true, entry("z", "odd")))
+	c.Follow()
+	c.Follow() // while it follows already: no more than one watch
+	whole := e.next(t)
+	x := whole.list[0]
+	if whole.how != policy.Whole || len(whole.known) != 2 || x.Zone != 1 || x.Kind != 0 || x.Group != 3 ||
+		x.Stage != policy.Ready || x.Size != 1.5 || x.Started != 1700000000123e6 || x.Backend == whole.list[1].Backend {
+		t.Errorf("%+v", whole)
+	}
+	if none := e.next(t); none.how != policy.Changes || len(none.list) != 0 {
+		t.Errorf("%+v", none)
+	}
+	if drains := e.next(t); drains.list[0].Stage != policy.Draining || len(drains.known) != 2 {
+		t.Errorf("%+v", drains)
+	}
+	if gone := e.next(t); gone.list[0].Stage != policy.Gone || len(gone.known) != 1 {
+		t.Errorf("%+v", gone)
+	}
+	if again := e.next(t); again.how != policy.Whole || again.list[0].Stage != policy.Draining || len(again.known) != 1 {
+		t.Errorf("%+v", again)
+	}
+	for n, want := range []string{"/v1/endpoints", "/v1/endpoints?index=4&wait=20000", "/v1/endpoints?index=5&wait=20000"} {
+		if got := <-calls; got != want {
+			t.Errorf("call %d is %s, wanted %s", n, got, want)
+		}
+	}
+}
+
+// A failure breaks the watch: the whole list is asked for anew, at once where the list comes unasked.
+func TestFailuresAreTriedAgain(t *testing.T) {
+	c, e, calls := serve(t, false, "fail", "{", lines(4, true, `{"name":"x","address":"nowhere"}`), lines(4, true, entry("x", "up")))
+	c.Follow()
+	if got := e.next(t); got.how != policy.Whole || len(got.list) != 1 {
+		t.Errorf("%+v", got)
+	}
+	for range 4 {
+		if got := <-calls; got != "/v1/endpoints" {
+			t.Errorf("call %s", got)
+		}
+	}
+}
+
+// Where it must be asked for, the decisions say when to ask again.
+func TestFailuresAreToldWhereAsked(t *testing.T) {
+	c, e, calls := serve(t, true, "fail", lines(4, true, entry("x", "up")))
+	c.Follow()
+	if got := e.next(t); got.how != policy.ListFailed {
+		t.Errorf("%+v", got)
+	}
+	time.Sleep(3 * again)
+	if len(calls) != 1 {
+		t.Errorf("%d calls", len(calls))
+	}
+	c.Follow()
+	if got := e.next(t); got.how != policy.Whole {
+		t.Errorf("%+v", got)
+	}
+}
+
+func TestKnownListServesFirst(t *testing.T) {
+	c, e, _ := serve(t, false)
+	if err := c.Known([]byte(lines(4, true, entry("x", "up")))); err != nil {
+		t.Fatal(err)
+	}
+	if got := e.next(t); got.how != policy.Cached || len(got.known) != 1 {
+		t.Errorf("%+v", got)
+	}
+	if err := Check([]byte(`{"endpoints":[{"name":"","address":"a:1"}]}`)); err == nil || !strings.Contains(err.Error(), "known") {
+		t.Errorf("%v", err)
+	}
+}
+
+func TestIdsAreTheSameInAnyOrder(t *testing.T) {
+	one, _, _ := serve(t, false)
+	two, _, _ := serve(t, false)
+	a, b := one.id("s-1"), one.id("s-2")
+	if b != two.id("s-2") || a != two.id("s-1") || a == b {
+		t.Error("ids differ between front doors")
+	}
+}
--- a/internal/facade/facade.go
+++ b/internal/facade/facade.go
@@ -5,7 +5,9 @@
 package facade
 
 import (
+	"maps"
 	"runtime/debug"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -28,9 +30,10 @@
 // Follower starts to follow the list of backends. It must not block.
 type Follower interface{ Follow() }
 
-// Line is the connection that a shot is out on. Drop gives the shot up; it does nothing once the line has
-// gone on to another.
-type Line interface{ Drop(s *Shot) }
+// Line is the connection that a shot is out on. Drop gives the shot up; it does nothing once the line has gone
+// on to another. It tells whether the shot's end will be reported all the same, at once, since it is just being
+// written and may not get out whole.
+type Line interface{ Drop(s *Shot) (reports bool) }
 
 // Facade is one front door's gate with its clock and timers.
 type Facade struct {
@@ -160,15 +163,30 @@
 			case e.shot == nil:
 				f.gate.Wake(f.now(), e.mark)
 			default:
-				f.settle(e.shot, e.shot.stop(policy.TimedOut), 0)
+				e.shot.stop(policy.TimedOut)
 			}
 		}
 	})
 }
 
-// Backends brings the list of backends, or changes to it.
+// Backends brings the list of backends, or changes to it. Shots decided on before that are still waiting for a
+// connection do not go out to a backend that is now known to drain or to be gone.
 func (f *Facade) Backends(how policy.Listing, list []policy.Listed) {
-	f.do(func(now int64) { f.gate.Backends(now, how, list) })
+	f.do(func(now int64) {
+		f.gate.Backends(now, how, list)
+		stages := make(map[policy.BackendID]policy.Stage, len(list))
+		for _, l := range list {
+			stages[l.Backend] = l.Stage
+		}
+		for _, id := range slices.Sorted(maps.Keys(f.open)) {
+			for _, s := range f.open[id].shots {
+				if stage, listed := stages[s.Backend]; (listed && stage != policy.Ready ||
+					!listed && how != policy.Changes && how != policy.ListFailed) && s.state.Load() == waiting {
+					s.stop(policy.Moot)
+				}
+			}
+		}
+	})
 }
 
 // Counted brings the answer to the oldest unanswered call for the count.
@@ -198,8 +216,7 @@
 
 func (d door) Recall(id policy.TransactionID, n policy.ShotID) {
 	if t := d.open[id]; t != nil && int(n) < len(t.shots) && !t.shots[n].settled {
-		s := t.shots[n]
-		d.ended = append(d.ended, ending{s, s.stop(policy.Recalled)})
+		t.shots[n].stop(policy.Recalled)
 	}
 }
 
@@ -232,7 +249,9 @@
 	number  policy.ShotID
 	sent    int64
 	until   int64
-	settled bool // by the facade's lock
+	settled bool           // by the facade's lock, like the next two
+	halted  bool           // given up while it was being written: its writer reports
+	as      policy.Outcome // how a halted shot ends, if it got out whole
 	state   atomic.Uint32
 	line    Line
 }
@@ -254,13 +273,18 @@
 // Left is how long the shot's answer will be waited for.
 func (s *Shot) Left() time.Duration { return time.Duration(s.until - s.t.f.now()) }
 
-// stop calls the shot off. Its outcome is then o, unless it was never written.
-func (s *Shot) stop(o policy.Outcome) policy.Outcome {
-	if s.state.CompareAndSwap(waiting, calledOff) {
-		return policy.Unreached
+// stop calls the shot off. It ends as o, unless its last byte was never written. The gate hears of it once it
+// has returned.
+func (s *Shot) stop(o policy.Outcome) {
+	switch f := s.t.f; {
+	case s.settled || s.halted:
+	case s.state.CompareAndSwap(waiting, calledOff):
+		f.ended = append(f.ended, ending{s, policy.Unreached})
+	case s.line.Drop(s):
+		s.halted, s.as = true, o
+	default:
+		f.ended = append(f.ended, ending{s, o})
 	}
-	s.line.Drop(s)
-	return o
 }
 
 // Report tells how the shot ended: with an answer, which the facade keeps, or an error. trueUnits is what the
@@ -272,7 +296,10 @@
 			return
 		}
 		o := outcome(err)
-		if o == policy.Fulfilled && !s.t.ended {
+		if s.halted && o == policy.CutOff {
+			o = s.as
+		}
+		if o == policy.Fulfilled {
 			s.t.end(Step{Do: Fulfil, Answer: answer})
 		}
 		f.settle(s, o, trueUnits)
@@ -353,12 +380,14 @@
 	if !t.ended {
 		t.ended = true
 		t.steps <- s
+		t.keep() // it may have ended with no shot out, by the counter's answer or a timer
 	}
 }
 
-// keep forgets the transaction once nothing more can come for it.
+// keep forgets the transaction once nothing more can come for it. Before the gate has given its handle it is
+// kept.
 func (t *Transaction) keep() {
-	if t.handle.Done() {
+	if t.handle != nil && t.handle.Done() {
 		delete(t.f.open, t.id)
 	}
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -13,6 +13,7 @@
 	"runtime/debug"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -31,8 +32,6 @@
 	mostHeld = 2 * mostCommand
 	// mostUnanswered is how many commands of one connection are open at once.
 	mostUnanswered = 1024
-	// slowest is how long a client may take to take in its answers.
-	slowest = 5 * time.Second
 )
 
 // Server serves clients.
@@ -40,16 +39,20 @@
 	facade  *facade.Facade
 	pool    *backend.Pool
 	start   *config.Start
-	most    int // connections at once
+	most    int           // connections at once
+	slowest time.Duration // that a client may take to take in an answer: longer than it may wait for one
 	mu      sync.Mutex
 	clients map[*client]struct{}
-	closing bool
 	freed   *sync.Cond // a connection has ended
 }
 
 // New makes a server of at most so many connections.
 func New(f *facade.Facade, pool *backend.Pool, start *config.Start, most int) *Server {
-	s := &Server{facade: f, pool: pool, start: start, most: most, clients: map[*client]struct{}{}}
+	s := &Server{facade: f, pool: pool, start: start, most: most, slowest: time.Second,
+		clients: map[*client]struct{}{}}
+	for _, p := range start.Terms.Profiles {
+		s.slowest = max(s.slowest, time.Duration(p.HardLimit)+time.Second)
+	}
 	s.freed = sync.NewCond(&s.mu)
 	return s
 }
@@ -105,18 +108,16 @@
 	return true
 }
 
-// Close ends all connections between transactions; those with one open end after their answers.
+// Close ends the connections that have nothing open; the others end after their answers. It may be called
+// again for what has come in meanwhile.
 func (s *Server) Close() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.closing = true
 	for c := range s.clients {
-		c.mu.Lock()
-		c.last = true
-		if len(c.line) == 0 {
+		c.last.Store(true)
+		if c.resting() {
 			c.nc.Close()
 		}
-		c.mu.Unlock()
 	}
 }
 
@@ -138,7 +139,7 @@
 	quiet  time.Time
 	bounds time.Time // of writing
 	gone   bool
-	last   bool // ends after the answers owed
+	last   atomic.Bool // ends after the answers owed
 }
 
 // command is one command, with its answer once there is one.
@@ -151,8 +152,11 @@
 	answer []byte
 }
 
+// resting says that nothing is open on the connection. One that is just being written to is not asked.
 func (c *client) resting() bool {
-	c.mu.Lock()
+	if !c.mu.TryLock() {
+		return false
+	}
 	defer c.mu.Unlock()
 	return len(c.line) == 0
 }
@@ -176,12 +180,8 @@
 		rest := buf[:held]
 		for len(rest) > 0 {
 			var whole bool
-			var kind redcon.Kind
 			var left []byte
-			whole, args, kind, left, err = redcon.ReadNextCommand(rest, args)
-			if err == nil && kind == redcon.Tile38 {
-				err = errors.New("Protocol error: no array of bulk strings")
-			}
+			whole, args, left, err = next(rest, args)
 			if err != nil {
 				c.answerNow("-ERR " + err.Error())
 				c.lastAnswer()
@@ -209,6 +209,21 @@
 	}
 }
 
+// next parses the next command in place. The parser of redcon panics on some lengths below zero or near the
+// largest number, and takes a protocol of another product along with its own.
+func next(b []byte, buf [][]byte) (whole bool, args [][]byte, left []byte, err error) {
+	defer func() {
+		if x := recover(); x != nil {
+			err = errors.New("Protocol error: impossible length")
+		}
+	}()
+	whole, args, kind, left, err := redcon.ReadNextCommand(b, buf)
+	if err == nil && kind == redcon.Tile38 {
+		err = errors.New("Protocol error: expected an array")
+	}
+	return whole, args, left, err
+}
+
 // command starts a command.
 func (c *client) command(raw []byte, args [][]byte) {
 	switch name := string(bytes.ToUpper(args[0])); name {
@@ -380,7 +395,7 @@
 	if len(c.line) == 0 {
 		c.line = nil
 		c.quiet = time.Now()
-		if c.last {
+		if c.last.Load() {
 			c.nc.Close()
 		}
 	}
@@ -388,9 +403,9 @@
 }
 
 func (c *client) write(answer []byte) {
-	if now := time.Now(); now.Sub(c.bounds) > slowest/5 { // renewed now and then: a deadline a write is dear
+	if now := time.Now(); now.Sub(c.bounds) > c.server.slowest/5 { // renewed now and then: a deadline a write is dear
 		c.bounds = now
-		c.nc.SetWriteDeadline(now.Add(slowest))
+		c.nc.SetWriteDeadline(now.Add(c.server.slowest))
 	}
 	if _, err := c.nc.Write(answer); err != nil {
 		c.nc.Close()
@@ -399,9 +414,9 @@
 
 // lastAnswer closes the connection once all that is owed on it is answered.
 func (c *client) lastAnswer() {
+	c.last.Store(true)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.last = true
 	for len(c.line) > 0 && !c.gone {
 		c.room.Wait()
 	}
--- /dev/null
+++ b/internal/front/front_test.go
@@ -0,0 +1,387 @@
+package front
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"regexp"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/tidwall/redcon"
+
+	"fawnplank/internal/backend"
+	"fawnplank/internal/config"
+	"fawnplank/internal/facade"
+	"fawnplank/policy"
+)
+
+// heard is a command that has come whole to a backend, on the connection conn.
+type heard struct {
+	raw  string
+	conn net.Conn
+}
+
+func (h heard) answer(text string) { io.WriteString(h.conn, text) }
+
+// house is a whole front door on loopback, with backends that do what a test says.
+type house struct {
+	t      *testing.T
+	server *Server
+	facade *facade.Facade
+	pool   *backend.Pool
+	at     net.Listener
+	heard  chan heard
+	mu     sync.Mutex
+	ended  map[net.Conn]bool // connections that the front door has closed
+}
+
+var terms = policy.Terms{Doors: 1, MostShots: 3, SecondCopies: true, Recalls: true, Advice: true, LongestAdvice: 1e9,
+	ColdShare: 0.2, WarmUp: 5e9, FallMultiple: 2, FallSpan: 1e9,
+	Profiles: []policy.ProfileTerms{{Promised: 1e9, HardLimit: 2e9}, {Promised: 1e9, HardLimit: 2e9,
+		Effect: policy.AtMostOnce}},
+	Plans: []policy.PlanTerms{{}, {Parallel: 1}}}
+
+// open builds a house; for each command that a backend hears, it sends on heard, or calls hear where given.
+func open(t *testing.T, most int, hear func(heard)) *house {
+	h := &house{t: t, facade: facade.New(), heard: make(chan heard, 100), ended: map[net.Conn]bool{}}
+	if hear == nil {
+		hear = func(c heard) { h.heard <- c }
+	}
+	h.pool = backend.New(50, 200*time.Millisecond, 10*time.Second, h.facade.Probed)
+	h.facade.Run(9, terms, nil, h.pool, nil)
+	start := &config.Start{Terms: terms, Profiles: map[string]policy.ProfileID{"lookup": 0, "pay": 1},
+		Plans: map[string]policy.PlanID{"team": 0, "one": 1}}
+	h.server = New(h.facade, h.pool, start, most)
+	h.at = h.listen()
+	go h.server.Serve(h.at)
+	for b := policy.BackendID(1); b <= 2; b++ {
+		l := h.listen()
+		go func() {
+			for {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				go h.backend(c, hear)
+			}
+		}()
+		h.pool.Place(b, l.Addr().String())
+	}
+	h.facade.Backends(policy.Whole, []policy.Listed{{Backend: 1, Stage: policy.Ready}, {Backend: 2, Stage: policy.Ready}})
+	t.Cleanup(h.facade.Stop)
+	return h
+}
+
+func (h *house) listen() net.Listener {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		h.t.Fatal(err)
+	}
+	h.t.Cleanup(func() { l.Close() })
+	return l
+}
+
+func (h *house) backend(c net.Conn, hear func(heard)) {
+	var all []byte
+	buf := make([]byte, 1<<17)
+	for {
+		n, err := c.Read(buf)
+		if err != nil {
+			h.mu.Lock()
+			h.ended[c] = true
+			h.mu.Unlock()
+			return
+		}
+		all = append(all, buf[:n]...)
+		whole, _, _, left, err := redcon.ReadNextCommand(all, nil)
+		if err != nil {
+			h.t.Errorf("a backend heard %q: %v", all, err)
+		}
+		if whole {
+			raw := string(all[:len(all)-len(left)])
+			all = append([]byte(nil), left...)
+			go hear(heard{raw, c})
+		}
+	}
+}
+
+// next is the next command that a backend hears.
+func (h *house) next() heard {
+	select {
+	case c := <-h.heard:
+		return c
+	case <-time.After(3 * time.Second):
+		h.t.Fatal("no backend hears anything")
+		panic("not reached")
+	}
+}
+
+func (h *house) dial() (net.Conn, *bufio.Reader) {
+	c, err := net.Dial("tcp", h.at.Addr().String())
+	if err != nil {
+		h.t.Fatal(err)
+	}
+	h.t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(8 * time.Second))
+	return c, bufio.NewReader(c)
+}
+
+func (h *house) expect(r *bufio.Reader, want string) {
+	h.t.Helper()
+	got := make([]byte, len(want))
+	if n, err := io.ReadFull(r, got); err != nil || string(got) != want {
+		h.t.Fatalf("%q (%v), wanted %q", got[:n], err, want)
+	}
+}
+
+func (h *house) line(r *bufio.Reader, want string) {
+	h.t.Helper()
+	got, err := r.ReadString('\n')
+	if ok, _ := regexp.MatchString("^"+want+"\r\n$", got); err != nil || !ok {
+		h.t.Fatalf("%q (%v), wanted %s", got, err, want)
+	}
+}
+
+// query is a transaction as a client writes it.
+func query(id, list string) string { return resp("SVC.QUERY", "00000000b4d65521", id, list) }
+
+func resp(words ...string) string {
+	text := fmt.Sprintf("*%d\r\n", len(words))
+	for _, w := range words {
+		text += fmt.Sprintf("$%d\r\n%s\r\n", len(w), w)
+	}
+	return text
+}
+
+const lookup = "c=lookup,t=team,d=900,units=2,spread=3,first=1"
+
+func TestTransactionPassesWithOnlyItsWaitRewritten(t *testing.T) {
+	h := open(t, 10, nil)
+	c, r := h.dial()
+	io.WriteString(c, query("9b1f03aa5c7e2d41", lookup+",r=1"))
+	got := h.next()
+	wait, _ := strconv.Atoi(regexp.MustCompile(`d=(\d+)`).FindStringSubmatch(got.raw)[1])
+	if wait < 500 || wait > 900 {
+		t.Errorf("the backend is told to expect %d ms", wait)
+	}
+	if want := query("9b1f03aa5c7e2d41", strings.Replace(lookup, "900", strconv.Itoa(wait), 1)+",r=1"); got.raw != want {
+		t.Errorf("%q, wanted %q", got.raw, want)
+	}
+	got.answer("*3\r\n$5\r\nvalue\r\n$7\r\nused=12\r\n$-1\r\n")
+	h.expect(r, "$5\r\nvalue\r\n")
+}
+
+// Each pipelined command is started at once, and answered by itself in its turn.
+func TestPipelinedAnswersKeepTheirOrder(t *testing.T) {
+	h := open(t, 10, nil)
+	c, r := h.dial()
+	io.WriteString(c, query("1", lookup)+query("2", lookup)+resp("PING")+query("3", lookup))
+	shots := map[string]heard{}
+	for range 3 {
+		got := h.next()
+		shots[regexp.MustCompile(`\$1\r\n(\d)`).FindStringSubmatch(got.raw)[1]] = got
+	}
+	shots["2"].answer("*3\r\n$1\r\n2\r\n$-1\r\n$-1\r\n")
+	shots["1"].answer("*3\r\n$1\r\n1\r\n$-1\r\n$-1\r\n")
+	h.expect(r, "$1\r\n1\r\n$1\r\n2\r\n+PONG\r\n") // not held back for the last
+	shots["3"].answer("*3\r\n$1\r\n3\r\n$-1\r\n$-1\r\n")
+	h.expect(r, "$1\r\n3\r\n")
+}
+
+func TestClientsLeavingIsNoticedWhileABackendWorks(t *testing.T) {
+	h := open(t, 10, nil)
+	c, _ := h.dial()
+	io.WriteString(c, query("1", lookup))
+	shot := h.next()
+	c.Close()
+	for until := time.Now().Add(2 * time.Second); ; time.Sleep(5 * time.Millisecond) {
+		h.mu.Lock()
+		ended := h.ended[shot.conn]
+		h.mu.Unlock()
+		if ended && h.facade.Open() == 0 && h.server.Connections() == 0 {
+			return
+		}
+		if time.Now().After(until) {
+			t.Fatalf("shot closed: %t, %d open, %d connections", ended, h.facade.Open(), h.server.Connections())
+		}
+	}
+}
+
+func TestBadInputGetsAnErrorAndCostsNobodyElse(t *testing.T) {
+	h := open(t, 20, func(c heard) { c.answer("*3\r\n$2\r\nok\r\n$-1\r\n$-1\r\n") })
+	for _, text := range []string{
+		resp("GET", "x"), resp("SVC.QUERY", "1"), query("1", "c=none,t=team,d=9"), query("1", "c=lookup,t=none,d=9"),
+		query("1", "c=lookup,t=team"), query("1", "c=lookup,d=9"), query("1", "t=team,d=9"), query("1", "c=lookup,t=team,d=x"),
+		query("1", "c=lookup,t=team,d=NaN"), query("1", "c=lookup,t=team,d=-4"), query("1", "c=lookup,t=team,d=9,spread=x"),
+		query("1", "lookup"), query("1", ""), resp("SVC.QUERY", "customer", "1", lookup), "GET / HTTP/1.1\r\n",
+	} {
+		c, r := h.dial()
+		io.WriteString(c, text+resp("PING"))
+		h.line(r, "-ERR .+")
+		h.line(r, `\+PONG`) // the connection goes on
+	}
+	for _, text := range []string{"*1\r\n$-5\r\n", "*1\r\n$9223372036854775807\r\nx", "*x\r\n", "*1\r\n:4\r\n", "*-3\r\n", "$5 hello\r\n",
+		"*2\r\n$3\r\nabcdef", "*4\r\n$70000\r\n" + strings.Repeat("x", 70000)} {
+		c, r := h.dial()
+		io.WriteString(c, text)
+		h.line(r, "-ERR .+")
+		if _, err := r.ReadByte(); err == nil {
+			t.Errorf("%.20q: the connection goes on", text)
+		}
+	}
+	c, r := h.dial()
+	for _, b := range []byte(query("1", lookup)) { // in pieces
+		c.Write([]byte{b})
+	}
+	h.expect(r, "$2\r\nok\r\n")
+}
+
+func TestAnswersOfBackends(t *testing.T) {
+	long := strings.Repeat("v", 64<<10)
+	for name, x := range map[string]struct{ class, first, want string }{
+		"a long value":                {"lookup", "*3\r\n$65536\r\n" + long + "\r\n$-1\r\n$-1\r\n", `\$65536`},
+		"turned away":                 {"pay", "-BUSY full\r\n", `\$2`},
+		"an error":                    {"lookup", "-ERR failed\r\n", `\$2`},
+		"an error that may have run":  {"pay", "-ERR failed\r\n", "-ERR .+"},
+		"no meaning":                  {"pay", "+OK\r\n", "-ERR .+"},
+		"no RESP":                     {"pay", "HTTP/1.1 200 OK\r\n", "-ERR .+"},
+		"a null value":                {"pay", "*3\r\n$-1\r\n$-1\r\n$-1\r\n", "-ERR .+"},
+		"more than one answer":        {"pay", "*1\r\n$1\r\nx\r\n*1\r\n$1\r\ny\r\n", "-ERR .+"},
+		"too long a value":            {"pay", "*3\r\n$90000\r\n" + long + long, "-ERR .+"},
+		"the connection's end":        {"pay", "", "-ERR .+"},
+		"an end within the answer":    {"pay", "*3\r\n$65536\r\nvvv", "-ERR .+"},
+		"an end that may be repeated": {"lookup", "", `\$2`},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var once sync.Once
+			h := open(t, 10, func(c heard) {
+				answer := "*3\r\n$2\r\nok\r\n$-1\r\n$-1\r\n"
+				once.Do(func() { answer = x.first })
+				c.answer(answer)
+				if !strings.HasSuffix(answer, "\r\n") {
+					c.conn.Close()
+				}
+			})
+			c, r := h.dial()
+			io.WriteString(c, query("1", strings.Replace(lookup, "lookup", x.class, 1)))
+			h.line(r, x.want)
+		})
+	}
+}
+
+// A silent backend costs its shot only: the answer comes in the transaction's time.
+func TestSilentBackends(t *testing.T) {
+	for class, want := range map[string]string{"lookup": "-BUSY( [0-9]+)?", "pay": "-ERR .+"} {
+		h := open(t, 10, nil)
+		c, r := h.dial()
+		start := time.Now()
+		io.WriteString(c, query("1", strings.Replace(strings.Replace(lookup, "900", "600", 1), "lookup", class, 1)))
+		h.line(r, want)
+		if took := time.Since(start); took > 640*time.Millisecond {
+			t.Errorf("answered after %v", took)
+		}
+	}
+}
+
+func TestDismissalGivesAdvice(t *testing.T) {
+	h := open(t, 10, nil)
+	c, r := h.dial()
+	io.WriteString(c, query("1", strings.Replace(lookup, "team", "one", 1)))
+	shot := h.next()
+	other, s := h.dial()
+	io.WriteString(other, query("2", strings.Replace(lookup, "team", "one", 1)))
+	h.line(s, "-BUSY [0-9]+")
+	shot.answer("*3\r\n$2\r\nok\r\n$-1\r\n$-1\r\n")
+	h.expect(r, "$2\r\nok\r\n")
+}
+
+func TestTheQuietestConnectionMakesRoom(t *testing.T) {
+	h := open(t, 2, nil)
+	busy, r := h.dial()
+	io.WriteString(busy, query("1", lookup))
+	shot := h.next()
+	_, quiet := h.dial()
+	c, s := h.dial()
+	io.WriteString(c, resp("PING"))
+	h.line(s, `\+PONG`)
+	if _, err := quiet.ReadByte(); err == nil {
+		t.Error("the quiet connection is still open")
+	}
+	shot.answer("*3\r\n$2\r\nok\r\n$-1\r\n$-1\r\n")
+	h.expect(r, "$2\r\nok\r\n")
+}
+
+// At the end connections close between transactions, and what was taken is answered.
+func TestCloseAnswersWhatWasTaken(t *testing.T) {
+	h := open(t, 10, nil)
+	c, r := h.dial()
+	io.WriteString(c, query("1", lookup))
+	shot := h.next()
+	_, idle := h.dial()
+	for h.server.Connections() < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	h.server.Close()
+	if _, err := idle.ReadByte(); err != io.EOF {
+		t.Errorf("an idle connection: %v", err)
+	}
+	shot.answer("*3\r\n$2\r\nok\r\n$-1\r\n$-1\r\n")
+	h.expect(r, "$2\r\nok\r\n")
+	if _, err := r.ReadByte(); err != io.EOF {
+		t.Errorf("after the last answer: %v", err)
+	}
+	for h.server.Connections() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// A client that takes in nothing holds up neither new connections nor the others.
+func TestClientThatDoesNotRead(t *testing.T) {
+	long := "*3\r\n$65536\r\n" + strings.Repeat("v", 64<<10) + "\r\n$-1\r\n$-1\r\n"
+	h := open(t, 2, func(c heard) { c.answer(long) })
+	deaf, _ := h.dial()
+	go func() {
+		for n := 0; n < 400; n++ {
+			if _, err := io.WriteString(deaf, query(strconv.Itoa(n), lookup)); err != nil {
+				return
+			}
+		}
+	}()
+	time.Sleep(300 * time.Millisecond)
+	for range 3 {
+		c, r := h.dial()
+		io.WriteString(c, resp("PING"))
+		h.line(r, `\+PONG`)
+	}
+}
+
+func TestIdleConnectionThatABackendClosesIsNotUsed(t *testing.T) {
+	h := open(t, 10, func(c heard) {
+		c.answer("*3\r\n$2\r\nok\r\n$-1\r\n$-1\r\n")
+		time.Sleep(20 * time.Millisecond)
+		c.conn.Close()
+	})
+	c, r := h.dial()
+	for range 5 { // an at-most-once transaction on a connection that is closed would be broken off
+		io.WriteString(c, query("1", strings.Replace(lookup, "lookup", "pay", 1)))
+		h.expect(r, "$2\r\nok\r\n")
+		time.Sleep(60 * time.Millisecond)
+	}
+}
+
+// Nobody listens at the address: proved not run, so even an at-most-once transaction goes elsewhere.
+func TestRefusedConnectionIsTriedElsewhere(t *testing.T) {
+	h := open(t, 10, nil)
+	l := h.listen()
+	l.Close()
+	h.pool.Place(1, l.Addr().String())
+	h.pool.Place(2, l.Addr().String())
+	c, r := h.dial()
+	io.WriteString(c, query("1", strings.Replace(lookup, "lookup", "pay", 1)))
+	h.line(r, "-BUSY( [0-9]+)?")
+}
