--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -9,6 +9,7 @@
 	"errors"
 	"net"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -264,16 +265,16 @@
 		size, answer := redcon.ReadNextRESP(buf[:held])
 		switch {
 		case size == 0 && bytes.IndexByte([]byte("*-+:$"), buf[0]) < 0, size > 0 && size < held:
-			c.answered(nil, facade.Answered, false)
+			c.answered(nil, 0, facade.Answered, false)
 			return
 		case size == 0 && held == len(buf) && held >= mostAnswer:
-			c.answered(nil, facade.Answered, false)
+			c.answered(nil, 0, facade.Answered, false)
 			return
 		case size == 0 && held == len(buf):
 			buf = append(buf, make([]byte, min(len(buf), mostAnswer-held))...)
 		case size > 0:
-			value, err := meaning(answer)
-			if !c.answered(bytes.Clone(value), err, true) {
+			value, units, err := meaning(answer)
+			if !c.answered(bytes.Clone(value), units, err, true) {
 				return
 			}
 			held = 0
@@ -284,24 +285,40 @@
 	}
 }
 
-// meaning is the value of an answer as it came, or the error that the answer stands for.
-func meaning(answer redcon.RESP) ([]byte, error) {
+// meaning is the value of an answer as it came and, where the figures on use tell them, the units that the
+// transaction really counted; or the error that the answer stands for.
+func meaning(answer redcon.RESP) (value []byte, units float64, err error) {
 	switch answer.Type {
 	case redcon.Array:
-		_, value := redcon.ReadNextRESP(answer.Data)
-		if answer.Count > 0 && value.Type == redcon.Bulk && value.Data != nil {
-			return value.Raw, nil
+		n, first := redcon.ReadNextRESP(answer.Data)
+		if answer.Count > 0 && first.Type == redcon.Bulk && first.Data != nil {
+			_, figures := redcon.ReadNextRESP(answer.Data[n:])
+			return first.Raw, cost(figures.Data), nil
 		}
 	case redcon.Error:
 		if word, _, _ := bytes.Cut(answer.Data, []byte(" ")); string(word) == "BUSY" {
-			return nil, facade.TurnedAway
+			return nil, 0, facade.TurnedAway
 		}
 	}
-	return nil, facade.Answered
+	return nil, 0, facade.Answered
+}
+
+// cost finds the true units among the figures on use: names and values, as in a load report.
+func cost(figures []byte) float64 {
+	for len(figures) > 0 {
+		var pair []byte
+		pair, figures, _ = bytes.Cut(figures, []byte(","))
+		if text, ok := bytes.CutPrefix(pair, []byte("cost=")); ok {
+			if units, err := strconv.ParseFloat(string(text), 64); err == nil && units > 0 && units < 1e9 {
+				return units
+			}
+		}
+	}
+	return 0
 }
 
 // answered passes an answer on; false says that there was no shot for it.
-func (c *conn) answered(value []byte, err error, rest bool) bool {
+func (c *conn) answered(value []byte, units float64, err error, rest bool) bool {
 	p := c.pool
 	p.mu.Lock()
 	s := c.shot
@@ -311,7 +328,7 @@
 	}
 	p.mu.Unlock()
 	if s != nil {
-		s.Report(value, 0, err)
+		s.Report(value, units, err)
 	}
 	return s != nil
 }
--- /dev/null
+++ b/internal/backend/backend_test.go
@@ -0,0 +1,137 @@
+package backend
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"github.com/tidwall/redcon"
+
+	"fawnplank/internal/facade"
+	"fawnplank/policy"
+)
+
+func TestMeaningOfAnswers(t *testing.T) {
+	for text, want := range map[string]struct {
+		value string
+		units float64
+		err   error
+	}{
+		"*3\r\n$2\r\nok\r\n$-1\r\n$-1\r\n":                    {"$2\r\nok\r\n", 0, nil},
+		"*3\r\n$0\r\n\r\n$14\r\nused=86,cost=3\r\n$-1\r\n":    {"$0\r\n\r\n", 3, nil},
+		"*3\r\n$4\r\n\r\n\r\n\r\n$6\r\ncost=x\r\n$-1\r\n":     {"$4\r\n\r\n\r\n\r\n", 0, nil},
+		"*3\r\n$2\r\nok\r\n$8\r\ncost=NaN\r\n$5\r\nqps=4\r\n": {"$2\r\nok\r\n", 0, nil},
+		"*1\r\n$2\r\nok\r\n":                                  {"$2\r\nok\r\n", 0, nil},
+		"*3\r\n$-1\r\n$-1\r\n$-1\r\n":                         {"", 0, facade.Answered},
+		"*0\r\n":                                              {"", 0, facade.Answered},
+		"-BUSY\r\n":                                           {"", 0, facade.TurnedAway},
+		"-BUSY inflight=7,queue=2\r\n":                        {"", 0, facade.TurnedAway},
+		"-ERR failed inflight=7\r\n":                          {"", 0, facade.Answered},
+		"-BUSYBODY\r\n":                                       {"", 0, facade.Answered},
+		"$2\r\nok\r\n":                                        {"", 0, facade.Answered},
+	} {
+		_, answer := redcon.ReadNextRESP([]byte(text))
+		value, units, err := meaning(answer)
+		if string(value) != want.value || units != want.units || err != want.err {
+			t.Errorf("%q: %q, %v, %v", text, value, units, err)
+		}
+	}
+}
+
+// listen is a backend that answers nothing but, perhaps, a PING; it passes its connections on.
+func listen(t *testing.T, ping string) (string, chan net.Conn) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	conns := make(chan net.Conn, 10)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			conns <- c
+			if ping != "" {
+				buf := make([]byte, 100)
+				c.Read(buf)
+				c.Write([]byte(ping))
+			}
+		}
+	}()
+	return l.Addr().String(), conns
+}
+
+func TestProbes(t *testing.T) {
+	told := make(chan error, 1)
+	p := New(10, 200*time.Millisecond, time.Second, func(b policy.BackendID, err error) { told <- err })
+	for answer, good := range map[string]bool{"+PONG\r\n": true, "-ERR busy\r\n": false, "": false} {
+		at, _ := listen(t, answer)
+		p.Place(1, at)
+		p.Probe(1)
+		if err := <-told; (err == nil) != good {
+			t.Errorf("%q: %v", answer, err)
+		}
+	}
+	p.Forget(1)
+	p.Probe(1)
+	if err := <-told; err == nil {
+		t.Error("a probe without an address")
+	}
+}
+
+// warm gives a pool a warm connection to a backend, as after an answered shot.
+func warm(t *testing.T, p *Pool, b policy.BackendID) *conn {
+	t.Helper()
+	c, to, err := p.take(b)
+	if err == nil && c == nil {
+		c, err = p.dial(to)
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.mu.Lock()
+	c.rest()
+	p.mu.Unlock()
+	return c
+}
+
+func TestWarmConnectionsAreBounded(t *testing.T) {
+	p := New(2, 200*time.Millisecond, 200*time.Millisecond, nil)
+	one, conns := listen(t, "")
+	two, _ := listen(t, "")
+	p.Place(1, one)
+	p.Place(2, two)
+	first := warm(t, p, 1)
+	if warm(t, p, 1) != first {
+		t.Error("a warm connection is not used again")
+	}
+	second := warm(t, p, 2)
+	p.mu.Lock()
+	second.used = second.used.Add(time.Millisecond)
+	p.mu.Unlock()
+	p.Place(3, two)
+	third := warm(t, p, 3) // the oldest makes room
+	if !first.down || second.down || third.down || p.conns != 2 {
+		t.Errorf("closed: %t %t %t, %d open", first.down, second.down, third.down, p.conns)
+	}
+	time.Sleep(110 * time.Millisecond) // half of the time after which backends close
+	if again := warm(t, p, 2); again == second || !second.down {
+		t.Error("a connection that has been idle for too long is used")
+	}
+	p.Place(2, one) // at another address now
+	p.Forget(3)
+	if !third.down || len(p.peers[2].warm) != 0 {
+		t.Error("connections to a backend that moved or is gone are kept")
+	}
+	for range 2 {
+		if c, _, err := p.take(1); err != nil || c != nil { // room for two new ones
+			t.Errorf("%v, %v", c, err)
+		}
+	}
+	if _, _, err := p.take(1); err != errCrowded {
+		t.Errorf("beyond the limit: %v", err)
+	}
+	<-conns
+}
