--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -77,9 +77,11 @@
 // New makes a client.
 func New(told Told, addresses Addresses, s *config.Start) *Client {
 	c := &Client{told: told, addresses: addresses, base: "http://" + s.Discovery + "/v1/endpoints",
-		onRequest: s.Terms.ListOnRequest,
-		http:      http.Client{Transport: &http.Transport{IdleConnTimeout: time.Minute, DisableCompression: true}}, zones: words[policy.ZoneID]{}, kinds: words[policy.KindID]{},
-		ids: map[string]policy.BackendID{}, names: map[policy.BackendID]string{}, listed: map[policy.BackendID]bool{}, wanted: make(chan struct{}, 1)}
+		onRequest: s.Terms.ListOnRequest, wanted: make(chan struct{}, 1),
+		http:  http.Client{Transport: &http.Transport{IdleConnTimeout: time.Minute, DisableCompression: true}},
+		zones: words[policy.ZoneID]{}, kinds: words[policy.KindID]{},
+		ids: map[string]policy.BackendID{}, names: map[policy.BackendID]string{},
+		listed: map[policy.BackendID]bool{}}
 	for _, z := range s.Zones {
 		c.zones.id(z)
 	}
--- a/internal/facade/facade.go
+++ b/internal/facade/facade.go
@@ -37,24 +37,23 @@
 
 // Facade is one front door's gate with its clock and timers.
 type Facade struct {
-	mu        sync.Mutex
-	gate      *policy.Gate
-	epoch     int64     // Unix time at the start
-	start     time.Time // the same moment on the monotonic clock
-	counter   Counter
-	prober    Prober
-	follower  Follower
-	open      map[policy.TransactionID]*Transaction
-	last      policy.TransactionID
-	due       due.Queue[dueEntry]
-	timer     *time.Timer
-	mark      uint64 // of the latest wake asked for; those before are needless
-	armed     int64  // when the timer goes off; 0: not set
-	ended     []ending
-	bumped    bool
-	probes    []policy.BackendID
-	mostShots int
-	stopped   chan struct{}
+	mu       sync.Mutex
+	gate     *policy.Gate
+	epoch    int64     // Unix time at the start
+	start    time.Time // the same moment on the monotonic clock
+	counter  Counter
+	prober   Prober
+	follower Follower
+	open     map[policy.TransactionID]*Transaction
+	last     policy.TransactionID
+	due      due.Queue[dueEntry]
+	timer    *time.Timer
+	mark     uint64 // of the latest wake asked for; those before are needless
+	armed    int64  // when the timer goes off; 0: not set
+	ended    []ending
+	bumped   bool
+	probes   []policy.BackendID
+	stopped  chan struct{}
 }
 
 // dueEntry is a wake that the gate asked for, or the end of a shot's time.
@@ -79,7 +78,7 @@
 
 // Run starts the decisions and the timers.
 func (f *Facade) Run(seed uint64, terms policy.Terms, c Counter, p Prober, l Follower) {
-	f.counter, f.prober, f.follower, f.mostShots = c, p, l, terms.MostShots
+	f.counter, f.prober, f.follower = c, p, l
 	f.do(func(now int64) { f.gate = policy.New(now, seed, terms, door{f}) })
 	go f.tick()
 }
@@ -113,13 +112,13 @@
 func (f *Facade) locked(what func(now int64)) (bumped bool, probes []policy.BackendID) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	defer f.arm() // after a panic too: else what is due would wait for the next call
 	what(f.now())
 	for len(f.ended) > 0 { // shots that the gate called off: it is told once it has returned
 		e := f.ended[0]
 		f.ended = f.ended[1:]
 		f.settle(e.shot, e.outcome, 0)
 	}
-	f.arm()
 	bumped, probes = f.bumped, f.probes
 	f.bumped, f.probes = false, nil
 	return bumped, probes
@@ -210,6 +209,11 @@
 	}
 	s := &Shot{Backend: b, t: t, number: policy.ShotID(len(t.shots)), sent: d.now(), until: until}
 	t.shots = append(t.shots, s)
+	if len(t.steps) == mostWaiting { // never sent
+		s.state.Store(calledOff)
+		d.ended = append(d.ended, ending{s, policy.Moot})
+		return
+	}
 	d.due.Add(until, dueEntry{shot: s})
 	t.steps <- Step{Do: Send, Shot: s}
 }
@@ -336,6 +340,10 @@
 	ComeBack int64
 }
 
+// mostWaiting is how many shots of a transaction may wait to be picked. They are picked at once, so that even
+// two are rare, whatever the settings allow.
+const mostWaiting = 8
+
 // Transaction is one that was taken.
 type Transaction struct {
 	f      *Facade
@@ -343,14 +351,14 @@
 	handle *policy.Transaction
 	limit  int64
 	shots  []*Shot
-	steps  chan Step // has room for all steps there can be
+	steps  chan Step // has room for mostWaiting shots and the final step: nothing blocks under the lock
 	ended  bool
 }
 
 // Take takes a transaction.
 func (f *Facade) Take(pr policy.ProfileID, pl policy.PlanID, c policy.CustomerID, left time.Duration,
 	units float64, entries, first int) *Transaction {
-	t := &Transaction{f: f, steps: make(chan Step, f.mostShots+1)}
+	t := &Transaction{f: f, steps: make(chan Step, mostWaiting+1)}
 	f.do(func(now int64) {
 		f.last++
 		t.id, t.limit = f.last, now+int64(left)
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -403,7 +403,8 @@
 }
 
 func (c *client) write(answer []byte) {
-	if now := time.Now(); now.Sub(c.bounds) > c.server.slowest/5 { // renewed now and then: a deadline a write is dear
+	// The deadline is renewed now and then: one a write is dear.
+	if now := time.Now(); now.Sub(c.bounds) > c.server.slowest/5 {
 		c.bounds = now
 		c.nc.SetWriteDeadline(now.Add(c.server.slowest))
 	}
