--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -179,6 +179,23 @@
 	h.expect(r, "$5\r\nvalue\r\n")
 }
 
+// A body is any bytes, and passes on with its mark as it came.
+func TestBodyPassesUnchanged(t *testing.T) {
+	h := open(t, 10, nil)
+	c, r := h.dial()
+	body := "\x00\r\n*1\r\n$4\r\nPING\r\n" + strings.Repeat("\xff", 60000)
+	list := "c=pay,t=team,d=900,k=d72e33dc49655fc9,units=1"
+	io.WriteString(c, resp("SVC.SUBMIT", "00000000b4d65521", "9b1f03aa5c7e2d41", list, body))
+	got := h.next()
+	wait := regexp.MustCompile(`d=(\d+)`).FindStringSubmatch(got.raw)[1]
+	list = strings.Replace(list, "900", wait, 1)
+	if got.raw != resp("SVC.SUBMIT", "00000000b4d65521", "9b1f03aa5c7e2d41", list, body) {
+		t.Errorf("%.150q", got.raw)
+	}
+	got.answer("*3\r\n$2\r\n\r\n\r\n$6\r\ncost=1\r\n$-1\r\n")
+	h.expect(r, "$2\r\n\r\n\r\n")
+}
+
 // Each pipelined command is started at once, and answered by itself in its turn.
 func TestPipelinedAnswersKeepTheirOrder(t *testing.T) {
 	h := open(t, 10, nil)
