Nothing is taken on a connection that was just closed; what waits behind a transaction is bounded

Found by reading: a command read in the microseconds in which its connection was closed for room or at the end was taken and run, while its client sent it again elsewhere (twice, for at-most-once). And commands answered at once were not bounded behind an open transaction. Both have a test.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -93,19 +93,19 @@
 	go c.read()
 }
 
+// closeQuiet closes the connection that has had nothing open for longest; false says that there is none.
 func (s *Server) closeQuiet() bool {
 	var oldest *client
+	var since time.Time
 	for c := range s.clients {
-		if c.resting() && (oldest == nil || c.quiet.Before(oldest.quiet)) {
-			oldest = c
+		if quiet, ok := c.resting(); ok && (oldest == nil || quiet.Before(since)) {
+			oldest, since = c, quiet
 		}
 	}
-	if oldest == nil {
-		return false
+	if oldest != nil && oldest.closeResting() {
+		delete(s.clients, oldest)
 	}
-	delete(s.clients, oldest)
-	oldest.nc.Close()
-	return true
+	return oldest != nil // where it has become busy meanwhile, another is looked for
 }
 
 // Close ends the connections that have nothing open; the others end after their answers. It may be called
@@ -115,9 +115,7 @@
 	defer s.mu.Unlock()
 	for c := range s.clients {
 		c.last.Store(true)
-		if c.resting() {
-			c.nc.Close()
-		}
+		c.closeResting()
 	}
 }
 
@@ -137,8 +135,9 @@
 	held   int        // bytes of them
 	room   *sync.Cond
 	quiet  time.Time
-	bounds time.Time // of writing
-	gone   bool
+	bounds time.Time   // of writing
+	gone   bool        // the client is
+	shut   bool        // closed by us between transactions
 	last   atomic.Bool // ends after the answers owed
 }
 
@@ -152,13 +151,44 @@
 	answer []byte
 }
 
-// resting says that nothing is open on the connection. One that is just being written to is not asked.
-func (c *client) resting() bool {
+// resting tells since when nothing has been open on the connection. One that is just being written to is not
+// asked.
+func (c *client) resting() (since time.Time, ok bool) {
+	if !c.mu.TryLock() {
+		return since, false
+	}
+	defer c.mu.Unlock()
+	return c.quiet, len(c.line) == 0
+}
+
+// closeResting closes the connection if nothing is open on it. What its reader has read but not yet taken is not
+// taken then: the client sends it again on a new connection.
+func (c *client) closeResting() bool {
 	if !c.mu.TryLock() {
 		return false
 	}
 	defer c.mu.Unlock()
-	return len(c.line) == 0
+	if len(c.line) > 0 {
+		return false
+	}
+	c.shut = true
+	c.nc.Close()
+	return true
+}
+
+// add puts a command at the end of the line, once that has room; false says that the connection is closed.
+func (c *client) add(k *command) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for len(c.line) >= mostUnanswered || c.held > mostHeld {
+		c.room.Wait()
+	}
+	if c.shut {
+		return false
+	}
+	c.line = append(c.line, k)
+	c.held += len(k.raw)
+	return true
 }
 
 // read reads commands until the connection ends.
@@ -302,13 +332,9 @@
 	at := func(part []byte) int { return cap(raw) - cap(part) }
 	k.list[0], k.list[1] = at(args[3]), at(args[3])+len(args[3])
 	k.wait[0], k.wait[1] = at(wait), at(wait)+len(wait)
-	c.mu.Lock()
-	for (len(c.line) >= mostUnanswered || c.held > mostHeld) && !c.gone {
-		c.room.Wait()
+	if !c.add(k) {
+		return nil
 	}
-	c.line = append(c.line, k)
-	c.held += len(k.raw)
-	c.mu.Unlock()
 	k.t = c.server.facade.Take(policy.ProfileID(profile), policy.PlanID(plan), policy.CustomerID(customer),
 		time.Duration(left), units, entries, first)
 	go k.serve()
@@ -369,11 +395,9 @@
 
 // answerNow answers a command that needs no more than a line.
 func (c *client) answerNow(text string) {
-	k := &command{client: c}
-	c.mu.Lock()
-	c.line = append(c.line, k)
-	c.mu.Unlock()
-	c.finish(k, []byte(text+"\r\n"))
+	if k := (&command{client: c}); c.add(k) {
+		c.finish(k, []byte(text+"\r\n"))
+	}
 }
 
 // finish answers a command, and writes what answers may go out in their order.
@@ -396,6 +420,7 @@
 		c.line = nil
 		c.quiet = time.Now()
 		if c.last.Load() {
+			c.shut = true
 			c.nc.Close()
 		}
 	}
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -213,6 +213,66 @@
 	h.expect(r, "$1\r\n3\r\n")
 }
 
+// What waits behind a transaction is bounded: then the connection is read no further, and nothing is lost.
+func TestLongPipelinesWaitToBeRead(t *testing.T) {
+	h := open(t, 10, nil)
+	c, r := h.dial()
+	io.WriteString(c, query("1", lookup))
+	shot := h.next()
+	const many = 3 * mostUnanswered
+	go io.WriteString(c, strings.Repeat(resp("PING"), many))
+	for until := time.Now().Add(2 * time.Second); ; time.Sleep(time.Millisecond) {
+		h.server.mu.Lock()
+		held := 0
+		for c := range h.server.clients {
+			c.mu.Lock()
+			held = len(c.line)
+			c.mu.Unlock()
+		}
+		h.server.mu.Unlock()
+		if held > mostUnanswered {
+			t.Fatalf("%d commands are held", held)
+		}
+		if held == mostUnanswered {
+			break
+		}
+		if time.Now().After(until) {
+			t.Fatalf("only %d commands are held", held)
+		}
+	}
+	shot.answer("*3\r\n$2\r\nok\r\n$-1\r\n$-1\r\n")
+	h.expect(r, "$2\r\nok\r\n"+strings.Repeat("+PONG\r\n", many))
+}
+
+// A command read in the moment in which its connection was closed is not taken: the client sends it again.
+func TestNothingIsTakenOnAClosedConnection(t *testing.T) {
+	h := open(t, 10, nil)
+	_, r := h.dial()
+	for h.server.Connections() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	var c *client
+	h.server.mu.Lock()
+	for c = range h.server.clients {
+	}
+	h.server.mu.Unlock()
+	if !c.closeResting() {
+		t.Error("not closed")
+	}
+	raw := []byte(query("1", lookup))
+	_, args, _, err := next(raw, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.command(raw, args)
+	if _, err := r.ReadByte(); err != io.EOF {
+		t.Errorf("%v", err)
+	}
+	if n := h.facade.Open(); n > 0 {
+		t.Errorf("%d transactions taken", n)
+	}
+}
+
 func TestClientsLeavingIsNoticedWhileABackendWorks(t *testing.T) {
 	h := open(t, 10, nil)
 	c, _ := h.dial()
