--- a/internal/facade/facade.go
+++ b/internal/facade/facade.go
@@ -215,7 +215,7 @@
 		return
 	}
 	d.due.Add(until, dueEntry{shot: s})
-	t.steps <- Step{Do: Send, Shot: s}
+	t.steps <- s
 }
 
 func (d door) Recall(id policy.TransactionID, n policy.ShotID) {
@@ -351,14 +351,17 @@
 	handle *policy.Transaction
 	limit  int64
 	shots  []*Shot
-	steps  chan Step // has room for mostWaiting shots and the final step: nothing blocks under the lock
-	ended  bool
+	// steps brings the shots to be sent, and nil once last stands. It has room for mostWaiting shots and that:
+	// nothing blocks under the lock.
+	steps chan *Shot
+	last  Step
+	ended bool
 }
 
 // Take takes a transaction.
 func (f *Facade) Take(pr policy.ProfileID, pl policy.PlanID, c policy.CustomerID, left time.Duration,
 	units float64, entries, first int) *Transaction {
-	t := &Transaction{f: f, steps: make(chan Step, mostWaiting+1)}
+	t := &Transaction{f: f, steps: make(chan *Shot, mostWaiting+1)}
 	f.do(func(now int64) {
 		f.last++
 		t.id, t.limit = f.last, now+int64(left)
@@ -370,7 +373,12 @@
 }
 
 // Pick waits for the next step.
-func (t *Transaction) Pick() Step { return <-t.steps }
+func (t *Transaction) Pick() Step {
+	if s := <-t.steps; s != nil {
+		return Step{Do: Send, Shot: s}
+	}
+	return t.last
+}
 
 // Leave tells that the client is gone.
 func (t *Transaction) Leave() {
@@ -386,8 +394,8 @@
 // end passes the final step on; only the first counts.
 func (t *Transaction) end(s Step) {
 	if !t.ended {
-		t.ended = true
-		t.steps <- s
+		t.ended, t.last = true, s
+		t.steps <- nil
 		t.keep() // it may have ended with no shot out, by the counter's answer or a timer
 	}
 }
--- a/internal/facade/fault.go
+++ b/internal/facade/fault.go
@@ -43,10 +43,11 @@
 
 // outcome is what an error says of whether the shot has run.
 func outcome(err error) policy.Outcome {
+	if err == nil {
+		return policy.Fulfilled
+	}
 	var fault *Fault
 	switch {
-	case err == nil:
-		return policy.Fulfilled
 	case errors.Is(err, TurnedAway):
 		return policy.Rejected
 	case errors.Is(err, Answered):
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -15,6 +15,7 @@
 	"sync"
 	"sync/atomic"
 	"time"
+	"unicode"
 
 	"github.com/sirupsen/logrus"
 	"github.com/tidwall/redcon"
@@ -256,7 +257,10 @@
 
 // command starts a command.
 func (c *client) command(raw []byte, args [][]byte) {
-	switch name := string(bytes.ToUpper(args[0])); name {
+	if bytes.ContainsFunc(args[0], unicode.IsLower) { // rare, and it allocates
+		args[0] = bytes.ToUpper(args[0])
+	}
+	switch string(args[0]) {
 	case "SVC.QUERY", "SVC.SUBMIT":
 		if err := c.transaction(raw, args); err != nil {
 			c.answerNow("-ERR " + err.Error())
@@ -266,7 +270,7 @@
 	case "CLIENT", "SELECT":
 		c.answerNow("+OK")
 	default:
-		c.answerNow(fmt.Sprintf("-ERR unknown command %.40q", name))
+		c.answerNow(fmt.Sprintf("-ERR unknown command %.40q", args[0]))
 	}
 }
 
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -317,6 +317,8 @@
 		}
 	}
 	c, r := h.dial()
+	io.WriteString(c, resp("pInG"))
+	h.line(r, `\+PONG`)
 	for _, b := range []byte(query("1", lookup)) { // in pieces
 		c.Write([]byte{b})
 	}
