SIGHUP moves discovery and counter; a spoilt counter answer counts as added

Seen: node crashed with 129 at SIGHUP and lost what was open; cmd/fawnplank asked for SIGTERM and interrupt alone, so the runtime's default ended the program. Ruled out: nothing else was logged; restarts by SIGTERM pass. Change: the handler stands before the configuration is read; the file is read and checked whole, a faulty one is logged with its key and the old one stays. Discovery gives its call up and asks the new address for the whole list; the counter sends new calls to the new address and lets those out be answered at the old one, a name's answers told in call order. An answer of the counter with no total was told to the module as CutOff, which it took for not added (policy.Counted): the amount was told twice. What cannot become an answer is no longer waited for. Tests: moves of counter and discovery, SIGHUP under way, spoilt totals.

--- a/cmd/fawnplank/main.go
+++ b/cmd/fawnplank/main.go
@@ -8,6 +8,7 @@
 	"net"
 	"os"
 	"os/signal"
+	"reflect"
 	"runtime"
 	"runtime/debug"
 	"syscall"
@@ -68,10 +69,7 @@
 		fmt.Println("fawnplank", version, runtime.Version())
 		return nil
 	case "check":
-		start, err := config.Read(*path)
-		if err == nil {
-			err = discovery.Check(start.Known)
-		}
+		start, err := read(*path)
 		if err != nil {
 			return err
 		}
@@ -79,18 +77,29 @@
 			len(start.Profiles), len(start.Plans), start.Terms.Me, start.Terms.Doors)
 		return nil
 	case "serve":
-		start, err := config.Read(*path)
-		if err != nil {
-			return err
-		}
-		return serve(start)
+		return serve(*path)
 	}
 	flags.Usage()
 	return fmt.Errorf("unknown command %q", flags.Arg(0))
 }
 
+// read reads the configuration and checks it whole.
+func read(path string) (*config.Start, error) {
+	start, err := config.Read(path)
+	if err == nil {
+		err = discovery.Check(start.Known)
+	}
+	return start, err
+}
+
 // serve runs a front door until it is told to stop.
-func serve(start *config.Start) error {
+func serve(path string) error {
+	told := make(chan os.Signal, 8) // from here on, since SIGHUP would end the program otherwise
+	signal.Notify(told, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
+	start, err := read(path)
+	if err != nil {
+		return err
+	}
 	// All runs on one core: more threads would only take turns. The collector keeps below the memory limit,
 	// which leaves a quarter for what it does not see, and runs seldom, since little is held.
 	runtime.GOMAXPROCS(1)
@@ -119,19 +128,48 @@
 		return fmt.Errorf("configuration: listen: %w", err)
 	}
 	server := front.New(f, pool, start, part)
-	told := make(chan os.Signal, 1)
-	signal.Notify(told, syscall.SIGTERM, os.Interrupt)
-	served := make(chan error, 1)
+	served, stopped := make(chan error, 1), make(chan struct{})
 	go func() { served <- server.Serve(listener) }()
 	logrus.Infof("%s: front door %d of %d listens on %s", start.Name, start.Terms.Me, start.Terms.Doors,
 		start.Listen)
-	select {
-	case err := <-served:
-		return err
-	case <-told:
+	for stopping := false; ; {
+		select {
+		case err := <-served:
+			if !stopping {
+				return err
+			}
+			served = nil
+		case <-stopped:
+			return nil
+		case s := <-told: // one at a time: a further one waits
+			if s == syscall.SIGHUP {
+				reload(path, start, count, list)
+			} else if !stopping {
+				stopping = true
+				go func() {
+					stop(server, listener, start.Terms)
+					close(stopped)
+				}()
+			}
+		}
+	}
+}
+
+// reload reads the configuration anew and goes on to the addresses that it names. The old one stays where the
+// new one is faulty; all else that has changed there waits for a restart.
+func reload(path string, start *config.Start, count *counter.Client, list *discovery.Client) {
+	fresh, err := read(path)
+	if err != nil {
+		logrus.Errorf("not reloaded, the old configuration stays: %v", err)
+		return
+	}
+	count.Move(fresh.Counter)
+	list.Move(fresh.Discovery)
+	logrus.Infof("%s: reloaded: discovery at %s, counter at %s", start.Name, fresh.Discovery, fresh.Counter)
+	fresh.Discovery, fresh.Counter, fresh.Seed, fresh.Known = start.Discovery, start.Counter, start.Seed, start.Known
+	if !reflect.DeepEqual(fresh, start) {
+		logrus.Warnf("%s: other changes of the configuration take effect at a restart", start.Name)
 	}
-	stop(server, listener, start.Terms)
-	return nil
 }
 
 // stop goes on serving while new connections may still come, up to 0.4 s after the signal; then it ends
--- a/cmd/fawnplank/main_test.go
+++ b/cmd/fawnplank/main_test.go
@@ -150,3 +150,65 @@
 		t.Errorf("exit: %v after %v", err, time.Since(start))
 	}
 }
+
+// SIGHUP under way: a faulty file is logged with its key and changes nothing; a good one is followed; and neither
+// it nor SIGTERM during it ends the program before its time.
+func TestReload(t *testing.T) {
+	calls := make(chan int, 100)
+	var at [2]string
+	for n := range at {
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			calls <- n
+			<-r.Context().Done()
+		}))
+		defer s.CloseClientConnections()
+		at[n] = strings.TrimPrefix(s.URL, "http://")
+	}
+	called := func(want int) {
+		t.Helper()
+		select {
+		case n := <-calls:
+			if n != want {
+				t.Errorf("discovery %d is called, not %d", n, want)
+			}
+		case <-time.After(900 * time.Millisecond): // a watch that was not moved is called again after a second
+			t.Fatalf("discovery %d is not called", want)
+		}
+	}
+	file := filepath.Join(t.TempDir(), "config.json")
+	write := func(text string) { os.WriteFile(file, []byte(text), 0o600) }
+	text := func(n int) string { return fmt.Sprintf(configuration, "127.0.0.1:0", at[n], "127.0.0.1:3") }
+	write(text(0))
+	c := program("serve", "-c", file)
+	log, _ := c.StderrPipe()
+	if err := c.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer c.Process.Kill()
+	lines := bufio.NewScanner(log)
+	logged := func(want string) {
+		t.Helper()
+		for lines.Scan() {
+			if strings.Contains(lines.Text(), want) {
+				return
+			}
+		}
+		t.Fatalf("not logged: %s", want)
+	}
+	logged("listens")
+	called(0)
+	write(strings.Replace(text(1), `"me":0`, `"me":"x"`, 1))
+	c.Process.Signal(syscall.SIGHUP)
+	logged("settings.me")
+	write(text(1))
+	c.Process.Signal(syscall.SIGHUP)
+	called(1)
+	logged("reloaded")
+	c.Process.Signal(syscall.SIGHUP)
+	c.Process.Signal(syscall.SIGTERM)
+	c.Process.Signal(syscall.SIGHUP)
+	logged("stopped")
+	if err := c.Wait(); err != nil {
+		t.Errorf("exit: %v", err)
+	}
+}
--- a/internal/counter/counter.go
+++ b/internal/counter/counter.go
@@ -6,7 +6,9 @@
 import (
 	"bytes"
 	"errors"
+	"math"
 	"net"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -25,6 +27,8 @@
 	// longestSilence is how long a connection may leave its oldest call unanswered before it is given up: a
 	// counter that has moved never answers on the old ones. Many times what a crowded counter takes.
 	longestSilence = time.Second
+	// longestAnswer is several times a total in any form.
+	longestAnswer = 128
 )
 
 // Told is told the answers.
@@ -35,33 +39,71 @@
 // Client calls the counter.
 type Client struct {
 	told    Told
-	address string
 	patient time.Duration // for a connection to come up
 	mu      sync.Mutex
-	lines   []*line
-	names   map[policy.CountID]*line // those with calls out: answers for a name must come in order
-	unsent  []*line                  // bumped since the last flush
+	address string
+	lines   []*line // to the address
+	old     []*line // to earlier addresses, with calls out
+	names   map[policy.CountID]*queue
+	unsent  []*line // bumped since the last flush
 }
 
 // New makes a client; a connection is opened when it is first needed.
 func New(told Told, address string, connectTimeout time.Duration) *Client {
-	return &Client{told: told, address: address, patient: connectTimeout, names: map[policy.CountID]*line{}}
+	return &Client{told: told, address: address, patient: connectTimeout, names: map[policy.CountID]*queue{}}
+}
+
+// Move goes on to another address. Calls out may still be answered at the old one until it closes.
+func (c *Client) Move(address string) {
+	c.mu.Lock()
+	if address == c.address {
+		c.mu.Unlock()
+		return
+	}
+	c.address = address
+	lines := c.lines
+	c.lines, c.old = nil, append(c.old, lines...)
+	for _, q := range c.names {
+		q.line = nil
+	}
+	var idle []*line
+	for _, l := range lines {
+		if l.old = true; len(l.calls) == 0 {
+			idle = append(idle, l)
+		}
+	}
+	c.mu.Unlock()
+	for _, l := range idle {
+		l.end(errors.New("the counter has moved"))
+	}
 }
 
 // line is one connection.
 type line struct {
 	c       *Client
+	address string
 	conn    *sock.Conn // nil: not up yet
 	buf     []byte     // not written yet
 	unsent  int        // the calls in it
-	calls   []call     // unanswered, in order
+	calls   []*call    // unanswered, in order
 	writing bool       // somebody is at it
+	old     bool       // the counter has moved: no further calls
 	gone    bool
 }
 
 type call struct {
-	name policy.CountID
-	at   time.Time
+	name  policy.CountID
+	at    time.Time
+	ended bool
+	total float64
+	err   error
+}
+
+// queue holds a name's calls: they are told in their order, also where the later went to another address.
+type queue struct {
+	line    *line // that takes the next one; nil: any
+	calls   []*call
+	telling bool // somebody is at it
 }
 
 // Bump adds to a number. It blocks nobody: Flush sends.
@@ -69,11 +111,15 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
-	l := c.names[name]
-	if l == nil {
-		l = c.pick(now)
-		c.names[name] = l
+	q := c.names[name]
+	if q == nil {
+		q = &queue{}
+		c.names[name] = q
+	}
+	if q.line == nil {
+		q.line = c.pick()
 	}
+	l, k := q.line, &call{name: name, at: now}
 	l.buf = append(l.buf, "bump "...)
 	l.buf = strconv.AppendUint(l.buf, uint64(name), 16)
 	l.buf = append(l.buf, ' ')
@@ -81,13 +127,13 @@
 	l.buf = append(l.buf, ' ')
 	l.buf = strconv.AppendInt(l.buf, max((lifetime+999_999)/1_000_000, 1), 10)
 	l.buf = append(l.buf, "\r\n"...)
-	l.calls = append(l.calls, call{name, now})
+	l.calls, q.calls = append(l.calls, k), append(q.calls, k)
 	l.unsent++
 	c.unsent = append(c.unsent, l)
 }
 
 // pick gives the first connection that waits for nothing, a new one, or the one that waits for least.
-func (c *Client) pick(now time.Time) *line {
+func (c *Client) pick() *line {
 	var least *line
 	for _, l := range c.lines {
 		if least == nil || len(l.calls) < len(least.calls) {
@@ -98,7 +144,7 @@
 		}
 	}
 	if len(c.lines) < mostLines {
-		l := &line{c: c}
+		l := &line{c: c, address: c.address}
 		c.lines = append(c.lines, l)
 		go l.run()
 		return l
@@ -112,9 +158,11 @@
 	unsent := c.unsent
 	c.unsent = nil
 	var silent []*line
-	for _, l := range c.lines {
-		if len(l.calls) > 0 && time.Since(l.calls[0].at) > longestSilence {
-			silent = append(silent, l)
+	for _, lines := range [][]*line{c.lines, c.old} {
+		for _, l := range lines {
+			if len(l.calls) > 0 && time.Since(l.calls[0].at) > longestSilence {
+				silent = append(silent, l)
+			}
 		}
 	}
 	c.mu.Unlock()
@@ -157,7 +205,7 @@
 			l.end(errors.New("panic"))
 		}
 	}()
-	conn, err := sock.Dial(l.c.address, l.c.patient)
+	conn, err := sock.Dial(l.address, l.c.patient)
 	l.c.mu.Lock()
 	if err == nil && l.gone {
 		conn.Close()
@@ -187,19 +235,21 @@
 				break
 			}
 			if !l.answer(bytes.TrimSuffix(rest[:end], []byte("\r"))) {
-				l.end(errors.New("answer without a call"))
+				l.end(errors.New("of no further use"))
 				return
 			}
 			rest = rest[end+1:]
 		}
-		if held = copy(buf, rest); held == len(buf) {
-			l.end(errors.New("endless answer"))
+		// What cannot become an answer is not waited for: behind it others wait.
+		if held = copy(buf, rest); held > longestAnswer || held > 0 && bytes.IndexByte([]byte("obe"), buf[0]) < 0 {
+			l.answer(nil)
+			l.end(errors.New("spoilt answer"))
 			return
 		}
 	}
 }
 
-// answer passes on the answer to the oldest call.
+// answer passes on the answer to the oldest call; false says that nothing more can come.
 func (l *line) answer(text []byte) bool {
 	c := l.c
 	c.mu.Lock()
@@ -207,32 +257,49 @@
 		c.mu.Unlock()
 		return false
 	}
-	name := l.calls[0].name
+	k := l.calls[0]
 	l.calls = l.calls[1:]
-	if len(l.calls) == 0 {
+	old, idle := l.old, len(l.calls) == 0
+	if idle {
 		l.calls = nil
 	}
-	l.forget(name)
 	c.mu.Unlock()
-	var total float64
-	err := facade.TurnedAway // busy and error: nothing was added
-	if sum, ok := bytes.CutPrefix(text, []byte("ok ")); ok {
-		if total, err = strconv.ParseFloat(string(sum), 64); err != nil {
-			err = &facade.Fault{Came: facade.Answering, Err: err}
-		}
+	total, err := meaning(text)
+	c.tell(k, total, err)
+	return (err == nil || err == facade.TurnedAway) && !(old && idle)
+}
+
+// meaning is the total of an answer, or why there is none. Where it is spoilt, the call has been added.
+func meaning(text []byte) (total float64, err error) {
+	switch string(text) {
+	case "busy", "error":
+		return 0, facade.TurnedAway
 	}
-	c.told.Counted(name, total, err)
-	return true
+	sum, ok := bytes.CutPrefix(text, []byte("ok "))
+	if total, err = strconv.ParseFloat(string(sum), 64); err != nil || !ok || math.IsNaN(total-total) {
+		return 0, &facade.Fault{Came: facade.Answering, Err: errors.New("no total")}
+	}
+	return total, nil
 }
 
-// forget lets the name go to any connection once it has no call out on this one.
-func (l *line) forget(name policy.CountID) {
-	for _, k := range l.calls {
-		if k.name == name {
-			return
-		}
+// tell notes how a call ended, and passes on what can be told of its name by now.
+func (c *Client) tell(k *call, total float64, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	k.ended, k.total, k.err = true, total, err
+	q := c.names[k.name]
+	for !q.telling && len(q.calls) > 0 && q.calls[0].ended {
+		first := q.calls[0]
+		q.calls, q.telling = q.calls[1:], true
+		func() {
+			c.mu.Unlock()
+			defer func() { c.mu.Lock(); q.telling = false }() // after a panic too
+			c.told.Counted(first.name, first.total, first.err)
+		}()
+	}
+	if len(q.calls) == 0 && !q.telling && c.names[k.name] == q {
+		delete(c.names, k.name)
 	}
-	delete(l.c.names, name)
 }
 
 // end closes the connection. Calls written may have been added; those not written never were.
@@ -244,15 +311,13 @@
 		return
 	}
 	l.gone = true
-	for n, other := range c.lines {
-		if other == l {
-			c.lines = append(c.lines[:n], c.lines[n+1:]...)
-			break
-		}
-	}
+	itself := func(other *line) bool { return other == l }
+	c.lines, c.old = slices.DeleteFunc(c.lines, itself), slices.DeleteFunc(c.old, itself)
 	calls, written := l.calls, len(l.calls)-l.unsent
 	for _, k := range calls {
-		delete(c.names, k.name)
+		if q := c.names[k.name]; q.line == l {
+			q.line = nil
+		}
 	}
 	if l.conn != nil {
 		l.conn.Close()
@@ -266,6 +331,6 @@
 		if n >= written {
 			err = &facade.Fault{Came: facade.Writing, Err: why}
 		}
-		c.told.Counted(k.name, 0, err)
+		c.tell(k, 0, err)
 	}
 }
--- a/internal/counter/counter_test.go
+++ b/internal/counter/counter_test.go
@@ -160,7 +160,8 @@
 
 func TestNonsenseEndsTheConnection(t *testing.T) {
 	for name, text := range map[string]string{"an answer without a call": "ok 1\r\nok 2\r\n",
-		"an endless answer": strings.Repeat("o", 5000), "no number": "ok much\r\n"} {
+		"an endless answer": strings.Repeat("o", 5000), "no number": "ok much\r\n", "no total": "ok\r\n",
+		"infinite": "ok Inf\r\n", "noise": "\x00\x07"} {
 		c, e, lines, _ := listen(t)
 		c.Bump(1, 1, 1e9)
 		c.Flush()
@@ -170,6 +171,10 @@
 		if name == "an answer without a call" != (x.err == nil) {
 			t.Errorf("%s: %+v", name, x)
 		}
+		// Its amount was added: what may be told otherwise of it is that no answer came.
+		if fault := (*facade.Fault)(nil); x.err != nil && (!errors.As(x.err, &fault) || fault.Came != facade.Answering) {
+			t.Errorf("%s: %+v", name, x)
+		}
 		c.Bump(1, 1, 1e9)
 		c.Flush()
 		if h = <-lines; h.text != "bump 1 1 1000" {
@@ -177,3 +182,46 @@
 		}
 	}
 }
+
+// After a move new calls go to the new address at once. Those out may still be answered at the old one, and
+// each name's answers are told in the order of its calls.
+func TestMoveKeepsTheOrderOfANamesAnswers(t *testing.T) {
+	c, e, lines, l := listen(t)
+	_, _, others, there := listen(t)
+	c.Bump(1, 1, 1e9)
+	c.Flush()
+	old := <-lines
+	c.Bump(2, 1, 1e9)
+	c.Flush()
+	idle := <-lines
+	fmt.Fprint(idle.conn, "ok 1\r\n")
+	e.next(t)
+	l.Close()
+	c.Move(there.Addr().String())
+	c.Move(there.Addr().String())
+	if _, err := idle.conn.Read(make([]byte, 1)); err == nil {
+		t.Error("a connection without calls stays at the old address")
+	}
+	c.Bump(1, 2, 1e9)
+	c.Bump(3, 3, 1e9)
+	c.Flush()
+	for range 2 {
+		h := <-others
+		fmt.Fprintf(h.conn, "ok %s\r\n", strings.Fields(h.text)[2])
+	}
+	if x := e.next(t); x != (told{3, 3, nil}) {
+		t.Errorf("%+v", x)
+	}
+	fmt.Fprint(old.conn, "ok 7\r\n")
+	for _, want := range []float64{7, 2} {
+		if x := e.next(t); x != (told{1, want, nil}) {
+			t.Errorf("%+v, wanted %v", x, want)
+		}
+	}
+	if _, err := old.conn.Read(make([]byte, 1)); err == nil {
+		t.Error("the old connection stays after its last answer")
+	}
+	if len(c.names) != 0 || len(c.old) != 0 {
+		t.Errorf("kept: %v, %v", c.names, c.old)
+	}
+}
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -49,7 +49,6 @@
 type Client struct {
 	told      Told
 	addresses Addresses
-	base      string
 	onRequest bool
 	http      http.Client // of its own: the usual one asks the environment for proxies
 	zones     words[policy.ZoneID]
@@ -60,6 +59,10 @@
 	begin     sync.Once
 	wanted    chan struct{}
 	index     int64
+	mu        sync.Mutex
+	base      string
+	moves     int                // how often the address changed
+	give      context.CancelFunc // gives the call that is out up
 }
 
 // words numbers names: those of the settings first, others as they come.
@@ -76,7 +79,7 @@
 
 // New makes a client.
 func New(told Told, addresses Addresses, s *config.Start) *Client {
-	c := &Client{told: told, addresses: addresses, base: "http://" + s.Discovery + "/v1/endpoints",
+	c := &Client{told: told, addresses: addresses, base: baseOf(s.Discovery),
 		onRequest: s.Terms.ListOnRequest, wanted: make(chan struct{}, 1),
 		http:  http.Client{Transport: &http.Transport{IdleConnTimeout: time.Minute, DisableCompression: true}},
 		zones: words[policy.ZoneID]{}, kinds: words[policy.KindID]{},
@@ -192,6 +195,21 @@
 	return id
 }
 
+// Move goes on to another address: there a new watch starts with the whole list.
+func (c *Client) Move(address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if base := baseOf(address); base != c.base {
+		c.base = base
+		c.moves++
+		if c.give != nil {
+			c.give()
+		}
+	}
+}
+
+func baseOf(address string) string { return "http://" + address + "/v1/endpoints" }
+
 // Follow asks for the list and its changes from now on. Where the list must be asked for, a failure is told,
 // and the decisions say when to ask again; elsewhere the client asks again by itself.
 func (c *Client) Follow() {
@@ -203,11 +221,18 @@
 }
 
 func (c *Client) run() {
-	whole, failed := true, false
+	whole, failed, moves := true, false, 0
 	for {
 		<-c.wanted
 		for {
-			err := c.call(&whole)
+			err := c.call(&whole, &moves)
+			c.mu.Lock()
+			moved := c.moves != moves
+			c.mu.Unlock()
+			if moved { // what the call ended with is of the old address
+				c.http.CloseIdleConnections()
+				continue
+			}
 			if (err != nil) != failed { // once an outage
 				failed = err != nil
 				logrus.Warnf("discovery: fails: %t (%v)", failed, err)
@@ -225,18 +250,23 @@
 	}
 }
 
-// call makes one call, for the whole list or for what is new since the last, and tells what came.
-func (c *Client) call(whole *bool) (err error) {
+// call makes one call, for the whole list or for what is new since the last, and tells what came. moves is the
+// address's number at the last call: at a new address the version of the old one means nothing.
+func (c *Client) call(whole *bool, moves *int) (err error) {
 	defer func() {
 		if x := recover(); x != nil {
 			err = fmt.Errorf("panic: %v", x)
 		}
 	}()
+	c.mu.Lock()
 	url, wait := c.base, time.Duration(0)
-	if !*whole {
+	if *whole = *whole || *moves != c.moves; !*whole {
 		url, wait = fmt.Sprintf("%s?index=%d&wait=%d", c.base, c.index, waitMs), waitMs*time.Millisecond
 	}
+	*moves = c.moves
 	ctx, cancel := context.WithTimeout(context.Background(), wait+patience)
+	c.give = cancel
+	c.mu.Unlock()
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, "GET", url, nil)
 	if err != nil {
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -163,3 +163,33 @@
 		t.Error("ids differ between front doors")
 	}
 }
+
+// At a new address the whole list is asked for at once, whatever the old watch was waiting for.
+func TestMoveStartsANewWatch(t *testing.T) {
+	c, e, calls := serve(t, false, lines(9, true, entry("x", "up"), entry("y", "up")))
+	_, _, others := serve(t, false)
+	there := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		others <- r.URL.String()
+		if r.URL.RawQuery != "" {
+			<-r.Context().Done()
+		}
+		fmt.Fprint(w, lines(4, true, entry("y", "up")))
+	}))
+	t.Cleanup(there.CloseClientConnections)
+	c.Follow()
+	e.next(t)
+	<-calls
+	<-calls // waits for news
+	c.Move(strings.TrimPrefix(there.URL, "http://"))
+	if got := e.next(t); got.how != policy.Whole || len(got.list) != 1 || len(got.known) != 1 {
+		t.Errorf("%+v", got)
+	}
+	for _, want := range []string{"/v1/endpoints", "/v1/endpoints?index=4&wait=20000"} {
+		if got := <-others; got != want {
+			t.Errorf("call %s, wanted %s", got, want)
+		}
+	}
+	if len(calls) != 0 {
+		t.Errorf("the old address was called again: %s", <-calls)
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -266,7 +266,8 @@
 		if k.waits {
 			k.answered(g, now, false, t.share(now))
 		}
-		if o != TimedOut || g.fails >= breakAt { // else it was likely added late, by a slow counter
+		// Else it was added, by a slow counter likely, or by one whose answer was spoilt (CutOff) for certain.
+		if o != CutOff && (o != TimedOut || g.fails >= breakAt) {
 			c.owed += k.amount
 		}
 		if !k.in && c.close {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -234,6 +234,18 @@
 	}
 }
 
+// Failure: an answer without a total, which stands for an amount added, had the amount told once more.
+func TestSpoiltAnswerOfTheCounterWasAdded(t *testing.T) {
+	for o, want := range map[Outcome]float64{CutOff: 0, Unreached: 1} {
+		d := newDesk(t, plainTerms(), ready(1, 2, 3)...)
+		d.take(1, 0, 0, 1, 2*sec, 1)
+		d.answer(o)
+		if got := d.g.customers[1].owed; got != want {
+			t.Errorf("outcome %d: then %v is owed, wanted %v", o, got, want)
+		}
+	}
+}
+
 func TestSilentCounterTripsTheBreakerAndOneTrialCloses(t *testing.T) {
 	d := newDesk(t, plainTerms(), ready(1, 2, 3, 4, 5, 6)...)
 	for n := range 20 {
