Spoilt answers of backends are seen at once; a good one stands whatever lies behind it

Checked in redcon's source: ReadNextRESP returns 0 both for too little and for what can never become an answer, so that spoilt ones were waited for until the shot's time was up; lengths below zero made ReadNextCommand's kin panic, which ended the reader and left the shot out. backend.read also took a good answer with bytes behind it for an error (size < held), and nothing looked at a warm connection for bytes that its reader had not got to. Change: parse judges each length before what it counts; a good answer stands and the connection ends where more lies behind; a connection is peeked at (one raw call) before it is used again, which also shows one that has just ended. Tests: answers whole, cut short, spoilt and by chance; bytes behind an answer.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -14,15 +14,18 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
-	"github.com/tidwall/redcon"
 
 	"fawnplank/internal/facade"
 	"fawnplank/internal/sock"
 	"fawnplank/policy"
 )
 
-// mostAnswer bounds an answer: a value of 64 KiB with its figures and report.
-const mostAnswer = 68 << 10
+const (
+	mostValue  = 64 << 10 // of a value, by the protocol
+	mostLine   = 1 << 10  // of an error with its load report: several times what the settings' fields take
+	mostParts  = 8        // of an answer: value, figures, report, and room
+	mostAnswer = 68 << 10 // a value with its figures and report
+)
 
 // errCrowded says that no descriptor is left for a connection.
 var errCrowded = errors.New("no descriptor left")
@@ -104,9 +107,13 @@
 	for len(to.warm) > 0 && now.Sub(to.warm[0].used) > p.idle {
 		to.warm[0].close()
 	}
-	if n := len(to.warm); n > 0 {
-		c, to.warm = to.warm[n-1], to.warm[:n-1]
-		return c, to, nil
+	for n := len(to.warm); n > 0; n = len(to.warm) {
+		// What its reader has not seen yet, bytes that belong to nothing or its end, must not meet the next shot.
+		if c = to.warm[n-1]; c.nc.Quiet() {
+			to.warm = to.warm[:n-1]
+			return c, to, nil
+		}
+		c.close()
 	}
 	if p.conns >= p.most {
 		var oldest *conn
@@ -262,19 +269,16 @@
 			c.over(held, err)
 			return
 		}
-		size, answer := redcon.ReadNextRESP(buf[:held])
+		size, value, units, err := parse(buf[:held])
 		switch {
-		case size == 0 && bytes.IndexByte([]byte("*-+:$"), buf[0]) < 0, size > 0 && size < held:
-			c.answered(nil, 0, facade.Answered, false)
-			return
-		case size == 0 && held == len(buf) && held >= mostAnswer:
-			c.answered(nil, 0, facade.Answered, false)
+		case size == 0 && err != nil: // the connection is of no further use
+			c.answered(nil, 0, err, false)
 			return
 		case size == 0 && held == len(buf):
 			buf = append(buf, make([]byte, min(len(buf), mostAnswer-held))...)
 		case size > 0:
-			value, units, err := meaning(answer)
-			if !c.answered(bytes.Clone(value), units, err, true) {
+			// Bytes behind it belong to nothing: the answer stands, and the connection ends.
+			if !c.answered(bytes.Clone(value), units, err, size == held) || size < held {
 				return
 			}
 			held = 0
@@ -285,22 +289,92 @@
 	}
 }
 
-// meaning is the value of an answer as it came and, where the figures on use tell them, the units that the
-// transaction really counted; or the error that the answer stands for.
-func meaning(answer redcon.RESP) (value []byte, units float64, err error) {
-	switch answer.Type {
-	case redcon.Array:
-		n, first := redcon.ReadNextRESP(answer.Data)
-		if answer.Count > 0 && first.Type == redcon.Bulk && first.Data != nil {
-			_, figures := redcon.ReadNextRESP(answer.Data[n:])
-			return first.Raw, cost(figures.Data), nil
+// parse judges what has come of an answer, each length before what it counts: the size of a whole one, its value
+// as it came and, where the figures on use tell them, the units that the transaction really counted; or the
+// error that the answer stands for. Size 0 without an error asks for more; with one, the answer is spoilt.
+// (redcon's parser does not tell too little from what can never become an answer.)
+func parse(b []byte) (size int, value []byte, units float64, err error) {
+	if b[0] == '-' {
+		text, n, ok := line(b, mostLine)
+		word, _, _ := bytes.Cut(text, []byte(" "))
+		switch {
+		case !ok:
+			return 0, nil, 0, facade.Answered
+		case n == 0:
+			return 0, nil, 0, nil
+		case string(word) == "BUSY":
+			return n, nil, 0, facade.TurnedAway
+		case string(word) == "ERR":
+			return n, nil, 0, facade.Answered
+		}
+		return 0, nil, 0, facade.Answered
+	}
+	count, at, ok := length(b, '*', mostParts)
+	if !ok || at > 0 && count < 1 {
+		return 0, nil, 0, facade.Answered
+	}
+	if at == 0 {
+		return 0, nil, 0, nil
+	}
+	for part := range count {
+		if at == len(b) {
+			return 0, nil, 0, nil
+		}
+		n, start, ok := length(b[at:], '$', mostValue)
+		if part > 0 && !ok && b[at] != '$' { // no figures or report that can be read, but perhaps in form
+			_, start, ok = line(b[at:], mostLine)
+			ok, n = ok && bytes.IndexByte([]byte("+-:"), b[at]) >= 0, -1
+		}
+		if !ok || part == 0 && start > 0 && n < 0 {
+			return 0, nil, 0, facade.Answered
+		}
+		end := at + start + n + 2
+		if n < 0 {
+			end = at + start
 		}
-	case redcon.Error:
-		if word, _, _ := bytes.Cut(answer.Data, []byte(" ")); string(word) == "BUSY" {
-			return nil, 0, facade.TurnedAway
+		if start == 0 || len(b) < end {
+			return 0, nil, 0, nil
 		}
+		if n >= 0 && string(b[end-2:end]) != "\r\n" {
+			return 0, nil, 0, facade.Answered
+		}
+		switch part {
+		case 0:
+			value = b[at:end]
+		case 1:
+			if n > 0 {
+				units = cost(b[at+start : end-2])
+			}
+		}
+		at = end
+	}
+	return at, value, units, nil
+}
+
+// line gives the text of a line behind its first byte, and the whole line's size, 0 where its end has not come;
+// false says that it is none, or longer than most.
+func line(b []byte, most int) (text []byte, size int, ok bool) {
+	end := bytes.IndexByte(b, '\n')
+	if end < 0 {
+		return nil, 0, len(b) <= most
+	}
+	if end < 2 || end > most || b[end-1] != '\r' {
+		return nil, 0, false
+	}
+	return b[1 : end-1], end + 1, true
+}
+
+// length gives the number of a line that begins with kind, from -1 to most, and the line's size.
+func length(b []byte, kind byte, most int) (n, size int, ok bool) {
+	if b[0] != kind {
+		return 0, 0, false
+	}
+	text, size, ok := line(b, 16)
+	if !ok || size == 0 {
+		return 0, 0, ok
 	}
-	return nil, 0, facade.Answered
+	n, err := strconv.Atoi(string(text))
+	return n, size, err == nil && n >= -1 && n <= most && text[0] != '+'
 }
 
 // cost finds the true units among the figures on use: names and values, as in a load report.
--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -1,17 +1,20 @@
 package backend
 
 import (
+	"bytes"
+	"math/rand"
 	"net"
+	"strings"
 	"testing"
+	"testing/quick"
 	"time"
 
-	"github.com/tidwall/redcon"
-
 	"fawnplank/internal/facade"
 	"fawnplank/policy"
 )
 
 func TestMeaningOfAnswers(t *testing.T) {
+	long := strings.Repeat("v", mostValue)
 	for text, want := range map[string]struct {
 		value string
 		units float64
@@ -21,21 +24,49 @@
 		"*3\r\n$0\r\n\r\n$14\r\nused=86,cost=3\r\n$-1\r\n":    {"$0\r\n\r\n", 3, nil},
 		"*3\r\n$4\r\n\r\n\r\n\r\n$6\r\ncost=x\r\n$-1\r\n":     {"$4\r\n\r\n\r\n\r\n", 0, nil},
 		"*3\r\n$2\r\nok\r\n$8\r\ncost=NaN\r\n$5\r\nqps=4\r\n": {"$2\r\nok\r\n", 0, nil},
+		"*3\r\n$2\r\nok\r\n$-1\r\n$3\r\n\x00\n\xff\r\n":       {"$2\r\nok\r\n", 0, nil},
+		"*3\r\n$2\r\nok\r\n:5\r\n+x\r\n":                      {"$2\r\nok\r\n", 0, nil},
 		"*1\r\n$2\r\nok\r\n":                                  {"$2\r\nok\r\n", 0, nil},
-		"*3\r\n$-1\r\n$-1\r\n$-1\r\n":                         {"", 0, facade.Answered},
-		"*0\r\n":                                              {"", 0, facade.Answered},
+		"*1\r\n$65536\r\n" + long + "\r\n":                    {"$65536\r\n" + long + "\r\n", 0, nil},
 		"-BUSY\r\n":                                           {"", 0, facade.TurnedAway},
 		"-BUSY inflight=7,queue=2\r\n":                        {"", 0, facade.TurnedAway},
 		"-ERR failed inflight=7\r\n":                          {"", 0, facade.Answered},
-		"-BUSYBODY\r\n":                                       {"", 0, facade.Answered},
-		"$2\r\nok\r\n":                                        {"", 0, facade.Answered},
 	} {
-		_, answer := redcon.ReadNextRESP([]byte(text))
-		value, units, err := meaning(answer)
-		if string(value) != want.value || units != want.units || err != want.err {
-			t.Errorf("%q: %q, %v, %v", text, value, units, err)
+		size, value, units, err := parse([]byte(text))
+		if size != len(text) || string(value) != want.value || units != want.units || err != want.err {
+			t.Errorf("%.50q: %d, %.50q, %v, %v", text, size, value, units, err)
+		}
+		for n := 1; n < len(text); n += 1 + n/100 { // cut short it is not yet anything
+			if size, _, _, err := parse([]byte(text[:n])); size != 0 || err != nil {
+				t.Errorf("%.50q: %d, %v", text[:n], size, err)
+			}
+		}
+	}
+}
+
+// Failure: what could never become an answer was waited for until the shot's time was up; a length below zero
+// ended the reader.
+func TestSpoiltAnswersAreSeenAtOnce(t *testing.T) {
+	for _, text := range []string{"*3\r\n$-1\r\n", "*0\r\n", "*-1\r\n", "*-7\r\n", "*3\r\n$-5\r\n",
+		"*9999999999999999999\r\n", "*1000000\r\n", "*3\r\n$3221225472\r\nxxxx", "*3\r\n$65537\r\n",
+		"*3\r\n$two\r\n", "*3\r\n$+2\r\n", "*3\n", "*\r\n", "*3\r\n:5\r\n", "*3\r\n$2\r\nokay\r\n", "*3\r\n$4\r\nok\r\n$-1",
+		"*3\r\n$2\r\nok\r\n$x\r\n", "*3\r\n$2\r\nok\r\nnoise\r\n", "*" + strings.Repeat("3", 50),
+		"-" + strings.Repeat("E", 2000), "-BUSYBODY\r\n", "-\r\n", "-SYNTAX\r\n", "$2\r\nok\r\n", "+OK\r\n", ":1\r\n",
+		"HTTP/1.1 200 OK\r\n", "\x00", "\r\n"} {
+		if size, _, _, err := parse([]byte(text)); size != 0 || err != facade.Answered {
+			t.Errorf("%.40q: %d, %v", text, size, err)
 		}
 	}
+	cut := func(seed int64) bool { // noise, and good answers with a byte changed: never a panic, never a wrong value
+		chance := rand.New(rand.NewSource(seed))
+		good := []byte("*3\r\n$5\r\nvalue\r\n$7\r\nused=12\r\n$5\r\nqps=4\r\n")
+		good[chance.Intn(len(good))] = byte(chance.Intn(256))
+		size, value, _, err := parse(good)
+		return size == 0 || err == nil && size <= len(good) && bytes.HasSuffix(value, []byte("\r\n"))
+	}
+	if err := quick.Check(cut, &quick.Config{MaxCount: 20000, Rand: rand.New(rand.NewSource(3))}); err != nil {
+		t.Error(err)
+	}
 }
 
 // listen is a backend that answers nothing but, perhaps, a PING; it passes its connections on.
@@ -135,3 +166,20 @@
 	}
 	<-conns
 }
+
+// Failure: noise behind a good answer was taken for the answer to the next shot on the connection.
+func TestBytesBehindAnAnswerEndTheConnection(t *testing.T) {
+	p := New(10, 200*time.Millisecond, 10*time.Second, nil)
+	at, conns := listen(t, "")
+	p.Place(1, at)
+	c := warm(t, p, 1)
+	(<-conns).Write([]byte("*1\r\n$3\r\nold\r\n"))
+	p.mu.Lock() // its reader cannot get at the pool's state meanwhile
+	for c.nc.Quiet() {
+		time.Sleep(time.Millisecond)
+	}
+	p.mu.Unlock()
+	if again, _, err := p.take(1); again != nil || err != nil || !c.down {
+		t.Errorf("%v, %v, closed: %t", again, err, c.down)
+	}
+}
--- a/internal/sock/sock.go
+++ b/internal/sock/sock.go
@@ -26,6 +26,9 @@
 	inN   int
 	inErr syscall.Errno
 
+	look  func(fd uintptr)
+	there int // bytes that wait to be read; -1: the connection has ended
+
 	write  func(fd uintptr) bool
 	out    [6]syscall.Iovec
 	parts  int
@@ -40,7 +43,7 @@
 		return nil, err
 	}
 	c := &Conn{TCPConn: nc, raw: raw}
-	c.read, c.write = c.tryRead, c.tryWrite
+	c.read, c.write, c.look = c.tryRead, c.tryWrite, c.tryLook
 	return c, nil
 }
 
@@ -88,6 +91,25 @@
 	return c.inN, nil
 }
 
+// tryLook looks for a byte without taking it.
+func (c *Conn) tryLook(fd uintptr) {
+	var b [1]byte
+	n, _, errno := syscall.RawSyscall6(syscall.SYS_RECVFROM, fd, uintptr(unsafe.Pointer(&b[0])), 1,
+		syscall.MSG_PEEK|syscall.MSG_DONTWAIT, 0, 0)
+	switch {
+	case errno == syscall.EAGAIN:
+		c.there = 0
+	case errno != 0 || n == 0:
+		c.there = -1
+	default:
+		c.there = 1
+	}
+}
+
+// Quiet tells that the connection is up and that nothing has come on it that is not read yet. It does not wait,
+// also while another reads. One at a time may ask.
+func (c *Conn) Quiet() bool { return c.raw.Control(c.look) == nil && c.there == 0 }
+
 // tryWrite writes on until all is written or the socket is full.
 func (c *Conn) tryWrite(fd uintptr) bool {
 	first := 0
