Heads and lengths are judged whole; silence, half commands and floods are bounded

Checked: front.transaction took any units, sets and ids (units=NaN aside) and inline commands, of which parts would have sent garbled heads; a 60 MB value was read up to 68 KiB; nothing ended a silent connection or half a command; room was made by closing the longest quiet, so that silent ones pushed out usual clients. Change: internal/resp judges each length before what it counts, for clients and backends; fields are whole or refused (digits, ranges of the settings, one of each, an id that is not open); 2 s for silence and for a command to come whole; an error that ends a connection is followed by a short drain; 32 commands open on a connection; a pause after each fault; room is made by those turned away, then silent, then quiet for 2 s, one with unread bytes last. redcon's parser stays as the judge of the new one in its test: it panics on lengths and cannot tell too little from wrong.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -16,12 +16,12 @@
 	"github.com/sirupsen/logrus"
 
 	"fawnplank/internal/facade"
+	"fawnplank/internal/resp"
 	"fawnplank/internal/sock"
 	"fawnplank/policy"
 )
 
 const (
-	mostValue  = 64 << 10 // of a value, by the protocol
 	mostLine   = 1 << 10  // of an error with its load report: several times what the settings' fields take
 	mostParts  = 8        // of an answer: value, figures, report, and room
 	mostAnswer = 68 << 10 // a value with its figures and report
@@ -109,7 +109,7 @@
 	}
 	for n := len(to.warm); n > 0; n = len(to.warm) {
 		// What its reader has not seen yet, bytes that belong to nothing or its end, must not meet the next shot.
-		if c = to.warm[n-1]; c.nc.Quiet() {
+		if c = to.warm[n-1]; c.nc.Waiting() == 0 {
 			to.warm = to.warm[:n-1]
 			return c, to, nil
 		}
@@ -292,10 +292,9 @@
 // parse judges what has come of an answer, each length before what it counts: the size of a whole one, its value
 // as it came and, where the figures on use tell them, the units that the transaction really counted; or the
 // error that the answer stands for. Size 0 without an error asks for more; with one, the answer is spoilt.
-// (redcon's parser does not tell too little from what can never become an answer.)
 func parse(b []byte) (size int, value []byte, units float64, err error) {
 	if b[0] == '-' {
-		text, n, ok := line(b, mostLine)
+		text, n, ok := resp.Line(b, mostLine)
 		word, _, _ := bytes.Cut(text, []byte(" "))
 		switch {
 		case !ok:
@@ -309,7 +308,7 @@
 		}
 		return 0, nil, 0, facade.Answered
 	}
-	count, at, ok := length(b, '*', mostParts)
+	count, at, ok := resp.Length(b, '*', mostParts)
 	if !ok || at > 0 && count < 1 {
 		return 0, nil, 0, facade.Answered
 	}
@@ -320,9 +319,9 @@
 		if at == len(b) {
 			return 0, nil, 0, nil
 		}
-		n, start, ok := length(b[at:], '$', mostValue)
+		n, start, ok := resp.Length(b[at:], '$', resp.MostValue)
 		if part > 0 && !ok && b[at] != '$' { // no figures or report that can be read, but perhaps in form
-			_, start, ok = line(b[at:], mostLine)
+			_, start, ok = resp.Line(b[at:], mostLine)
 			ok, n = ok && bytes.IndexByte([]byte("+-:"), b[at]) >= 0, -1
 		}
 		if !ok || part == 0 && start > 0 && n < 0 {
@@ -351,32 +350,6 @@
 	return at, value, units, nil
 }
 
-// line gives the text of a line behind its first byte, and the whole line's size, 0 where its end has not come;
-// false says that it is none, or longer than most.
-func line(b []byte, most int) (text []byte, size int, ok bool) {
-	end := bytes.IndexByte(b, '\n')
-	if end < 0 {
-		return nil, 0, len(b) <= most
-	}
-	if end < 2 || end > most || b[end-1] != '\r' {
-		return nil, 0, false
-	}
-	return b[1 : end-1], end + 1, true
-}
-
-// length gives the number of a line that begins with kind, from -1 to most, and the line's size.
-func length(b []byte, kind byte, most int) (n, size int, ok bool) {
-	if b[0] != kind {
-		return 0, 0, false
-	}
-	text, size, ok := line(b, 16)
-	if !ok || size == 0 {
-		return 0, 0, ok
-	}
-	n, err := strconv.Atoi(string(text))
-	return n, size, err == nil && n >= -1 && n <= most && text[0] != '+'
-}
-
 // cost finds the true units among the figures on use: names and values, as in a load report.
 func cost(figures []byte) float64 {
 	for len(figures) > 0 {
--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -10,11 +10,12 @@
 	"time"
 
 	"fawnplank/internal/facade"
+	"fawnplank/internal/resp"
 	"fawnplank/policy"
 )
 
 func TestMeaningOfAnswers(t *testing.T) {
-	long := strings.Repeat("v", mostValue)
+	long := strings.Repeat("v", resp.MostValue)
 	for text, want := range map[string]struct {
 		value string
 		units float64
@@ -175,7 +176,7 @@
 	c := warm(t, p, 1)
 	(<-conns).Write([]byte("*1\r\n$3\r\nold\r\n"))
 	p.mu.Lock() // its reader cannot get at the pool's state meanwhile
-	for c.nc.Quiet() {
+	for c.nc.Waiting() == 0 {
 		time.Sleep(time.Millisecond)
 	}
 	p.mu.Unlock()
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -27,6 +27,7 @@
 	Zones, Kinds                     []string
 	IdleConnection                   int64 // after which a backend closes a connection
 	ConnectTimeout                   int64
+	MostUnits                        float64 // that one transaction counts
 }
 
 // Defaults of what the settings may leave out: the example figures of the deployment page, and of the
@@ -36,6 +37,7 @@
 	defaultSockets   = 1024
 	defaultIdleMs    = 15000
 	defaultConnectMs = 250
+	defaultMostUnits = 1e6
 )
 
 // Read reads the configuration from the file path, or from the file that GW_CONFIG names where path is
@@ -90,6 +92,7 @@
 	allowed := settings.in("permissions", true)
 	s.IdleConnection = Nanoseconds(allowed.or("conn-idle-ms", defaultIdleMs))
 	s.ConnectTimeout = Nanoseconds(allowed.or("connect-timeout-ms", defaultConnectMs))
+	s.MostUnits = settings.in("family-info", false).or("max-units", defaultMostUnits)
 	for n, l := range settings.rows("lanes") {
 		s.Profiles[get[string](l, "name", true)] = policy.ProfileID(n)
 	}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -1,6 +1,7 @@
 // Package front serves clients. It owns the listener, the clients' connections and the order of answers on
 // each; it parses commands in place, takes transactions at the facade and carries out the steps picked there.
-// It must never decide what becomes of a transaction, and never leave a taken one without its one answer.
+// It must never decide what becomes of a transaction, never leave a taken one without its one answer, and take
+// none whose head is not in order.
 package front
 
 import (
@@ -12,27 +13,43 @@
 	"os"
 	"runtime/debug"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 	"unicode"
 
 	"github.com/sirupsen/logrus"
-	"github.com/tidwall/redcon"
 
 	"fawnplank/internal/backend"
 	"fawnplank/internal/config"
 	"fawnplank/internal/facade"
+	"fawnplank/internal/resp"
 	"fawnplank/internal/sock"
 	"fawnplank/policy"
 )
 
 const (
-	mostCommand = 68 << 10 // a value of 64 KiB with its head
+	mostCommand = resp.MostValue + 4<<10 // a value with its head
 	// mostHeld is how much of one connection's unanswered commands is held; beyond it the reader waits.
 	mostHeld = 2 * mostCommand
-	// mostUnanswered is how many commands of one connection are open at once.
-	mostUnanswered = 1024
+	// mostUnanswered is how many commands of one connection are open at once; beyond it the reader waits. Usual
+	// clients keep one open on each, so that one who sends hundreds at once waits for itself.
+	mostUnanswered = 32
+	// patience is how long a connection may say nothing at first, and how long one command may take to come
+	// whole: by the protocol's 3 s such a client must have been turned away.
+	patience = 2 * time.Second
+	// sweep is how often that is looked at: fine enough against patience.
+	sweep = 250 * time.Millisecond
+	// fresh is how long a new connection's first command may be under way without the connection being one of
+	// those that say nothing; many times what the way takes.
+	fresh = 200 * time.Millisecond
+	// longestPause is the longest time for which a connection that sends faults is not read on.
+	longestPause = 500 * time.Millisecond
+	// lingers is how long, and mostDropped how much, is read and dropped after an error that ends a connection,
+	// so that the error is not lost to a reset. More is not worth the work.
+	lingers     = 300 * time.Millisecond
+	mostDropped = 256 << 10
 )
 
 // Server serves clients.
@@ -44,13 +61,14 @@
 	slowest time.Duration // that a client may take to take in an answer: longer than it may wait for one
 	mu      sync.Mutex
 	clients map[*client]struct{}
-	freed   *sync.Cond // a connection has ended
+	freed   *sync.Cond          // a connection has ended
+	ids     map[string]struct{} // of the open transactions
 }
 
 // New makes a server of at most so many connections.
 func New(f *facade.Facade, pool *backend.Pool, start *config.Start, most int) *Server {
 	s := &Server{facade: f, pool: pool, start: start, most: most, slowest: time.Second,
-		clients: map[*client]struct{}{}}
+		clients: map[*client]struct{}{}, ids: map[string]struct{}{}}
 	for _, p := range start.Terms.Profiles {
 		s.slowest = max(s.slowest, time.Duration(p.HardLimit)+time.Second)
 	}
@@ -60,6 +78,9 @@
 
 // Serve takes in connections until the listener is closed.
 func (s *Server) Serve(l net.Listener) error {
+	ended := make(chan struct{})
+	defer close(ended)
+	go s.sweep(ended)
 	for {
 		nc, err := l.Accept()
 		if errors.Is(err, net.ErrClosed) || errors.Is(err, os.ErrDeadlineExceeded) {
@@ -74,14 +95,36 @@
 	}
 }
 
-// add takes a connection in; where there are too many, the one that has been quiet the longest goes.
+// sweep turns clients away that say nothing, or not enough, until no more are taken in and all have ended.
+func (s *Server) sweep(ended chan struct{}) {
+	ticks := time.NewTicker(sweep)
+	defer ticks.Stop()
+	for last := false; !last || s.Connections() > 0; {
+		select {
+		case <-ended:
+			ended, last = nil, true
+		case now := <-ticks.C:
+			s.mu.Lock()
+			for c := range s.clients {
+				if since := c.since.Load(); since != 0 && now.Sub(c.born) > time.Duration(since)+patience {
+					c.nc.SetReadDeadline(now) // its reader says why
+				}
+			}
+			s.mu.Unlock()
+		}
+	}
+}
+
+// add takes a connection in; where there are too many, the one that is missed the least goes.
 func (s *Server) add(raw net.Conn) {
 	nc, err := sock.New(raw.(*net.TCPConn))
 	if err != nil { // it has ended already
 		raw.Close()
 		return
 	}
-	c := &client{server: s, nc: nc, quiet: time.Now()}
+	now := time.Now()
+	c := &client{server: s, nc: nc, born: now, quiet: now}
+	c.since.Store(1)
 	c.room = sync.NewCond(&c.mu)
 	s.mu.Lock()
 	for len(s.clients) >= s.most {
@@ -94,19 +137,42 @@
 	go c.read()
 }
 
-// closeQuiet closes the connection that has had nothing open for longest; false says that there is none.
+// closeQuiet closes a connection that has nothing open, the longest quiet of the least missed; false says that
+// there is none. One with bytes that wait to be read is passed over while another will do.
 func (s *Server) closeQuiet() bool {
-	var oldest *client
-	var since time.Time
-	for c := range s.clients {
-		if quiet, ok := c.resting(); ok && (oldest == nil || quiet.Before(since)) {
-			oldest, since = c, quiet
+	type spare struct {
+		c     *client
+		rank  int
+		since time.Time
+	}
+	var best spare
+	passed := map[*client]bool{}
+	for {
+		found := spare{}
+		now := time.Now()
+		for c := range s.clients {
+			rank, since, ok := c.resting(now)
+			if ok && !passed[c] && (found.c == nil || rank < found.rank ||
+				rank == found.rank && since.Before(found.since)) {
+				found = spare{c, rank, since}
+			}
+		}
+		if best.c == nil {
+			best = found
 		}
+		if found.c == nil || len(passed) == 8 { // all looked at have bytes waiting: the first, then
+			break
+		}
+		if found.c.nc.Waiting() <= 0 {
+			best = found
+			break
+		}
+		passed[found.c] = true
 	}
-	if oldest != nil && oldest.closeResting() {
-		delete(s.clients, oldest)
+	if best.c != nil && best.c.closeResting() {
+		delete(s.clients, best.c)
 	}
-	return oldest != nil // where it has become busy meanwhile, another is looked for
+	return best.c != nil // where it has become busy meanwhile, another is looked for
 }
 
 // Close ends the connections that have nothing open; the others end after their answers. It may be called
@@ -135,31 +201,49 @@
 	line   []*command // not answered yet, in their order
 	held   int        // bytes of them
 	room   *sync.Cond
+	born   time.Time
 	quiet  time.Time
-	bounds time.Time   // of writing
-	gone   bool        // the client is
-	shut   bool        // closed by us between transactions
-	last   atomic.Bool // ends after the answers owed
+	bounds time.Time    // of writing
+	gone   bool         // the client is
+	shut   bool         // closed by us between transactions
+	ending bool         // turned away: nothing is taken any more
+	spoke  bool         // has sent a command that is in order
+	last   atomic.Bool  // ends after the answers owed
+	since  atomic.Int64 // the age at which what has come of a command, or the silence, began; 0: neither
+	faults int          // of the reader: errors answered
 }
 
 // command is one command, with its answer once there is one.
 type command struct {
 	client *client
 	t      *facade.Transaction // nil: answered at once
+	id     string
 	raw    []byte
 	list   [2]int // where in raw the list of names and values stands, its length line too
 	wait   [2]int // where the figure of d stands
 	answer []byte
 }
 
-// resting tells since when nothing has been open on the connection. One that is just being written to is not
-// asked.
-func (c *client) resting() (since time.Time, ok bool) {
+// resting tells since when nothing has been open on the connection, and how much it would be missed. One that is
+// just being written to is not asked.
+func (c *client) resting(now time.Time) (rank int, since time.Time, ok bool) {
 	if !c.mu.TryLock() {
-		return since, false
+		return 0, since, false
 	}
 	defer c.mu.Unlock()
-	return c.quiet, len(c.line) == 0
+	switch quiet := now.Sub(c.quiet); {
+	case c.ending:
+		rank = 0
+	case !c.spoke && quiet > fresh:
+		rank = 1
+	case quiet >= patience:
+		rank = 2
+	case !c.spoke:
+		rank = 3
+	default:
+		rank = 4
+	}
+	return rank, c.quiet, len(c.line) == 0
 }
 
 // closeResting closes the connection if nothing is open on it. What its reader has read but not yet taken is not
@@ -204,33 +288,47 @@
 	var args [][]byte
 	for {
 		n, err := c.nc.Read(buf[held:])
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			if c.since.Load() == 0 { // it came whole in that moment
+				c.nc.SetReadDeadline(time.Time{})
+				continue
+			}
+			c.turnAway("Protocol error: no whole command in time")
+			return
+		}
 		if err != nil {
 			return
 		}
 		held += n
 		rest := buf[:held]
 		for len(rest) > 0 {
-			var whole bool
-			var left []byte
-			whole, args, left, err = next(rest, args)
+			var size int
+			size, args, err = resp.Command(rest, args)
 			if err != nil {
-				c.answerNow("-ERR " + err.Error())
-				c.lastAnswer()
+				c.turnAway(err.Error())
 				return
 			}
-			if !whole {
+			if size == 0 {
 				break
 			}
-			if len(args) > 0 {
-				c.command(rest[:len(rest)-len(left)], args)
+			before := c.faults
+			c.command(rest[:size], args)
+			if rest = rest[size:]; c.faults > before { // the same again at once gains nothing
+				time.Sleep(min(time.Duration(c.faults)*10*time.Millisecond, longestPause))
+			} else if c.since.Load() != 0 {
+				c.since.Store(0)
+				c.mu.Lock()
+				c.spoke = true
+				c.mu.Unlock()
 			}
-			rest = left
+		}
+		if c.since.Load() == 0 && len(rest) > 0 {
+			c.since.Store(int64(time.Since(c.born)))
 		}
 		held = copy(buf, rest)
 		if held == len(buf) {
 			if held >= mostCommand {
-				c.answerNow("-ERR Protocol error: command too long")
-				c.lastAnswer()
+				c.turnAway("Protocol error: command too long")
 				return
 			}
 			buf = append(buf, make([]byte, min(len(buf), mostCommand-len(buf)))...)
@@ -240,19 +338,25 @@
 	}
 }
 
-// next parses the next command in place. The parser of redcon panics on some lengths below zero or near the
-// largest number, and takes a protocol of another product along with its own.
-func next(b []byte, buf [][]byte) (whole bool, args [][]byte, left []byte, err error) {
-	defer func() {
-		if x := recover(); x != nil {
-			err = errors.New("Protocol error: impossible length")
+// turnAway ends the connection with an error, behind all that is owed on it.
+func (c *client) turnAway(text string) {
+	c.answerNow("-ERR " + text)
+	c.mu.Lock()
+	for len(c.line) > 0 {
+		c.room.Wait()
+	}
+	c.ending = true
+	c.mu.Unlock()
+	c.nc.CloseWrite()
+	c.nc.SetReadDeadline(time.Now().Add(lingers))
+	buf := make([]byte, 4096)
+	for dropped := 0; dropped < mostDropped; {
+		n, err := c.nc.Read(buf)
+		if err != nil {
+			return
 		}
-	}()
-	whole, args, kind, left, err := redcon.ReadNextCommand(b, buf)
-	if err == nil && kind == redcon.Tile38 {
-		err = errors.New("Protocol error: expected an array")
+		dropped += n
 	}
-	return whole, args, left, err
 }
 
 // command starts a command.
@@ -263,65 +367,74 @@
 	switch string(args[0]) {
 	case "SVC.QUERY", "SVC.SUBMIT":
 		if err := c.transaction(raw, args); err != nil {
-			c.answerNow("-ERR " + err.Error())
+			c.fault(err.Error())
 		}
 	case "PING":
 		c.answerNow("+PONG")
 	case "CLIENT", "SELECT":
 		c.answerNow("+OK")
 	default:
-		c.answerNow(fmt.Sprintf("-ERR unknown command %.40q", args[0]))
+		c.fault(fmt.Sprintf("unknown command %.40q", args[0]))
 	}
 }
 
+// fault answers a command that is not in order.
+func (c *client) fault(text string) {
+	c.faults++
+	c.answerNow("-ERR " + text)
+}
+
 // transaction parses the head of a transaction and takes it.
 func (c *client) transaction(raw []byte, args [][]byte) error {
-	if len(args) < 4 {
+	if len(args) < 4 || len(args) > 5 {
 		return errors.New("wrong number of arguments")
 	}
 	customer, err := strconv.ParseUint(string(args[1]), 16, 64)
-	if err != nil {
-		return errors.New("customer is no hexadecimal number")
+	if err != nil || len(args[1]) != 16 || customer >= 1<<33 {
+		return errors.New("customer is no number of 16 hexadecimal digits below 2^33")
+	}
+	strange := func(r rune) bool { return r <= ' ' || r > '~' }
+	if len(args[2]) == 0 || len(args[2]) > 64 || bytes.ContainsFunc(args[2], strange) {
+		return errors.New("id is missing or cannot be read")
 	}
 	s := c.server.start
-	profile, plan := -1, -1
+	profile, plan, doors := -1, -1, max(s.Terms.Doors, 1)
 	left, units, entries, first := int64(-1), 1.0, 1, 0
 	var wait []byte
-	for rest := args[3]; len(rest) > 0; {
+	for seen, rest, more := "", args[3], true; more; {
 		var pair []byte
-		pair, rest, _ = bytes.Cut(rest, []byte(","))
+		pair, rest, more = bytes.Cut(rest, []byte(","))
 		name, value, ok := bytes.Cut(pair, []byte("="))
 		if !ok {
 			return fmt.Errorf("%.40q has no value", pair)
 		}
-		var bad error
+		bad := false
 		switch string(name) {
 		case "c":
-			if id, ok := s.Profiles[string(value)]; ok {
-				profile = int(id)
-			} else {
-				return fmt.Errorf("unknown class %.40q", value)
-			}
+			id, ok := s.Profiles[string(value)]
+			profile, bad = int(id), !ok
 		case "t":
-			if id, ok := s.Plans[string(value)]; ok {
-				plan = int(id)
-			} else {
-				return fmt.Errorf("unknown plan %.40q", value)
-			}
+			id, ok := s.Plans[string(value)]
+			plan, bad = int(id), !ok
 		case "d":
-			var ms float64
-			ms, bad = number(value)
-			left, wait = config.Nanoseconds(ms), value
+			ms, ok := number(value)
+			left, wait, bad = config.Nanoseconds(ms), value, !ok
 		case "units":
-			units, bad = number(value)
+			units, ok = number(value)
+			bad = !ok || units <= 0 || units > s.MostUnits
 		case "spread":
-			entries, bad = strconv.Atoi(string(value))
+			x, ok := number(value)
+			entries, bad = int(x), !ok || x < 1 || x > float64(doors) || x != math.Trunc(x)
 		case "first":
-			first, bad = strconv.Atoi(string(value))
+			x, ok := number(value)
+			first, bad = int(x), !ok || x >= float64(doors) || x != math.Trunc(x)
+		default: // passes on with the rest
+			continue
 		}
-		if bad != nil {
-			return fmt.Errorf("%s is no number", name)
+		if bad || strings.Contains(seen, string(name)+",") {
+			return fmt.Errorf("%s has no meaning as %.40q", name, value)
 		}
+		seen += string(name) + ","
 	}
 	switch {
 	case profile < 0:
@@ -329,14 +442,18 @@
 	case plan < 0:
 		return errors.New("plan is missing")
 	case left < 0:
-		return errors.New("d is missing or below 0")
+		return errors.New("d is missing")
 	}
 	// Held on its own: the buffer goes on to the next command.
-	k := &command{client: c, raw: bytes.Clone(raw)}
+	k := &command{client: c, id: string(args[2]), raw: bytes.Clone(raw)}
 	at := func(part []byte) int { return cap(raw) - cap(part) }
 	k.list[0], k.list[1] = at(args[3]), at(args[3])+len(args[3])
 	k.wait[0], k.wait[1] = at(wait), at(wait)+len(wait)
+	if !c.server.claim(k.id) {
+		return errors.New("id is that of an open transaction")
+	}
 	if !c.add(k) {
+		c.server.free(k.id)
 		return nil
 	}
 	k.t = c.server.facade.Take(policy.ProfileID(profile), policy.PlanID(plan), policy.CustomerID(customer),
@@ -345,12 +462,28 @@
 	return nil
 }
 
-func number(text []byte) (float64, error) {
-	x, err := strconv.ParseFloat(string(text), 64)
-	if err == nil && (math.IsNaN(x) || math.IsInf(x, 0)) {
-		err = strconv.ErrRange
+// claim notes the id of a transaction that is to be taken; false says that one with it is open.
+func (s *Server) claim(id string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, taken := s.ids[id]
+	s.ids[id] = struct{}{}
+	return !taken
+}
+
+func (s *Server) free(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.ids, id)
+}
+
+// number reads digits with a point or none: no sign, exponent, or word for what is no number.
+func number(text []byte) (float64, bool) {
+	if len(text) == 0 || len(text) > 20 || len(bytes.Trim(text, "0123456789.")) > 0 {
+		return 0, false
 	}
-	return x, err
+	x, err := strconv.ParseFloat(string(text), 64)
+	return x, err == nil
 }
 
 // serve carries out the steps of a transaction up to its answer.
@@ -406,6 +539,9 @@
 
 // finish answers a command, and writes what answers may go out in their order.
 func (c *client) finish(k *command, answer []byte) {
+	if k.t != nil {
+		c.server.free(k.id)
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if answer == nil {
@@ -442,16 +578,6 @@
 	}
 }
 
-// lastAnswer closes the connection once all that is owed on it is answered.
-func (c *client) lastAnswer() {
-	c.last.Store(true)
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for len(c.line) > 0 && !c.gone {
-		c.room.Wait()
-	}
-}
-
 // leave ends the connection: what is open on it is told that the client is gone.
 func (c *client) leave() {
 	c.nc.Close()
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -17,6 +17,7 @@
 	"fawnplank/internal/backend"
 	"fawnplank/internal/config"
 	"fawnplank/internal/facade"
+	"fawnplank/internal/resp"
 	"fawnplank/policy"
 )
 
@@ -40,7 +41,7 @@
 	ended  map[net.Conn]bool // connections that the front door has closed
 }
 
-var terms = policy.Terms{Doors: 1, MostShots: 3, SecondCopies: true, Recalls: true, Advice: true,
+var terms = policy.Terms{Doors: 2, MostShots: 3, SecondCopies: true, Recalls: true, Advice: true,
 	LongestAdvice: 1e9,
 	ColdShare:     0.2, WarmUp: 5e9, FallMultiple: 2, FallSpan: 1e9,
 	Profiles: []policy.ProfileTerms{{Promised: 1e9, HardLimit: 2e9}, {Promised: 1e9, HardLimit: 2e9,
@@ -56,7 +57,7 @@
 	h.pool = backend.New(50, 200*time.Millisecond, 10*time.Second, h.facade.Probed)
 	h.facade.Run(9, terms, nil, h.pool, nil)
 	start := &config.Start{Terms: terms, Profiles: map[string]policy.ProfileID{"lookup": 0, "pay": 1},
-		Plans: map[string]policy.PlanID{"team": 0, "one": 1}}
+		Plans: map[string]policy.PlanID{"team": 0, "one": 1}, MostUnits: 8}
 	h.server = New(h.facade, h.pool, start, most)
 	h.at = h.listen()
 	go h.server.Serve(h.at)
@@ -150,17 +151,17 @@
 }
 
 // query is a transaction as a client writes it.
-func query(id, list string) string { return resp("SVC.QUERY", "00000000b4d65521", id, list) }
+func query(id, list string) string { return words("SVC.QUERY", "00000000b4d65521", id, list) }
 
-func resp(words ...string) string {
-	text := fmt.Sprintf("*%d\r\n", len(words))
-	for _, w := range words {
+func words(all ...string) string {
+	text := fmt.Sprintf("*%d\r\n", len(all))
+	for _, w := range all {
 		text += fmt.Sprintf("$%d\r\n%s\r\n", len(w), w)
 	}
 	return text
 }
 
-const lookup = "c=lookup,t=team,d=900,units=2,spread=3,first=1"
+const lookup = "c=lookup,t=team,d=900,units=2,spread=2,first=1"
 
 func TestTransactionPassesWithOnlyItsWaitRewritten(t *testing.T) {
 	h := open(t, 10, nil)
@@ -185,11 +186,11 @@
 	c, r := h.dial()
 	body := "\x00\r\n*1\r\n$4\r\nPING\r\n" + strings.Repeat("\xff", 60000)
 	list := "c=pay,t=team,d=900,k=d72e33dc49655fc9,units=1"
-	io.WriteString(c, resp("SVC.SUBMIT", "00000000b4d65521", "9b1f03aa5c7e2d41", list, body))
+	io.WriteString(c, words("SVC.SUBMIT", "00000000b4d65521", "9b1f03aa5c7e2d41", list, body))
 	got := h.next()
 	wait := regexp.MustCompile(`d=(\d+)`).FindStringSubmatch(got.raw)[1]
 	list = strings.Replace(list, "900", wait, 1)
-	if got.raw != resp("SVC.SUBMIT", "00000000b4d65521", "9b1f03aa5c7e2d41", list, body) {
+	if got.raw != words("SVC.SUBMIT", "00000000b4d65521", "9b1f03aa5c7e2d41", list, body) {
 		t.Errorf("%.150q", got.raw)
 	}
 	got.answer("*3\r\n$2\r\n\r\n\r\n$6\r\ncost=1\r\n$-1\r\n")
@@ -200,7 +201,7 @@
 func TestPipelinedAnswersKeepTheirOrder(t *testing.T) {
 	h := open(t, 10, nil)
 	c, r := h.dial()
-	io.WriteString(c, query("1", lookup)+query("2", lookup)+resp("PING")+query("3", lookup))
+	io.WriteString(c, query("1", lookup)+query("2", lookup)+words("PING")+query("3", lookup))
 	shots := map[string]heard{}
 	for range 3 {
 		got := h.next()
@@ -220,7 +221,7 @@
 	io.WriteString(c, query("1", lookup))
 	shot := h.next()
 	const many = 3 * mostUnanswered
-	go io.WriteString(c, strings.Repeat(resp("PING"), many))
+	go io.WriteString(c, strings.Repeat(words("PING"), many))
 	for until := time.Now().Add(2 * time.Second); ; time.Sleep(time.Millisecond) {
 		h.server.mu.Lock()
 		held := 0
@@ -260,7 +261,7 @@
 		t.Error("not closed")
 	}
 	raw := []byte(query("1", lookup))
-	_, args, _, err := next(raw, nil)
+	_, args, err := resp.Command(raw, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -294,21 +295,32 @@
 
 func TestBadInputGetsAnErrorAndCostsNobodyElse(t *testing.T) {
 	h := open(t, 20, func(c heard) { c.answer("*3\r\n$2\r\nok\r\n$-1\r\n$-1\r\n") })
-	for _, text := range []string{
-		resp("GET", "x"), resp("SVC.QUERY", "1"), query("1", "c=none,t=team,d=9"),
-		query("1", "c=lookup,t=none,d=9"), query("1", "c=lookup,t=team"), query("1", "c=lookup,d=9"),
-		query("1", "t=team,d=9"), query("1", "c=lookup,t=team,d=x"), query("1", "c=lookup,t=team,d=NaN"),
-		query("1", "c=lookup,t=team,d=-4"), query("1", "c=lookup,t=team,d=9,spread=x"), query("1", "lookup"),
-		query("1", ""), resp("SVC.QUERY", "customer", "1", lookup), "GET / HTTP/1.1\r\n",
-	} {
+	all := []string{words("GET", "x"), words("SVC.QUERY", "1"), words("SVC.QUERY", "customer", "1", lookup),
+		words("SVC.QUERY", "00000002b4d65521", "1", lookup), words("SVC.QUERY", "b4d65521", "1", lookup),
+		query("", lookup), query("a b", lookup), query("1\x00", lookup), query("1", lookup+","), query("1", ",")}
+	for _, list := range []string{"c=none,t=team,d=9", "c=lookup,t=none,d=9", "c=lookup,t=team", "c=lookup,d=9", "t=team,d=9",
+		"c=lookup,t=team,d=x", "c=lookup,t=team,d=NaN", "c=lookup,t=team,d=-4", "c=lookup,t=team,d=1e3", "c=lookup,t=team,d=",
+		"lookup", "", lookup + ",c=lookup", lookup + ",d=9"} {
+		all = append(all, query("1", list))
+	}
+	for _, units := range []string{"0", "-2", "NaN", "Inf", "1e300", "0x2", "", "9"} {
+		all = append(all, query("1", "c=lookup,t=team,d=900,units="+units))
+	}
+	for _, set := range []string{"spread=0", "spread=3", "spread=-1", "spread=x", "spread=1.5", "first=2", "first=-1", "first=99999999999999999999"} {
+		all = append(all, query("1", "c=lookup,t=team,d=900,"+set))
+	}
+	for _, text := range all {
 		c, r := h.dial()
-		io.WriteString(c, text+resp("PING"))
-		h.line(r, "-ERR .+")
+		io.WriteString(c, text+words("PING"))
+		if got, err := r.ReadString('\n'); err != nil || !strings.HasPrefix(got, "-ERR ") {
+			t.Fatalf("%q: %q, %v", text, got, err)
+		}
 		h.line(r, `\+PONG`) // the connection goes on
+		c.Close()
 	}
 	for _, text := range []string{"*1\r\n$-5\r\n", "*1\r\n$9223372036854775807\r\nx", "*x\r\n",
-		"*1\r\n:4\r\n", "*-3\r\n", "$5 hello\r\n", "*2\r\n$3\r\nabcdef",
-		"*4\r\n$70000\r\n" + strings.Repeat("x", 70000)} {
+		"*1\r\n:4\r\n", "*-3\r\n", "$5 hello\r\n", "*2\r\n$3\r\nabcdef", "GET / HTTP/1.1\r\n", "*0\r\n",
+		"SVC.QUERY 00000000b4d65521 1 " + lookup + "\r\n", "*4\r\n$70000\r\n" + strings.Repeat("x", 70000)} {
 		c, r := h.dial()
 		io.WriteString(c, text)
 		h.line(r, "-ERR .+")
@@ -317,7 +329,7 @@
 		}
 	}
 	c, r := h.dial()
-	io.WriteString(c, resp("pInG"))
+	io.WriteString(c, words("pInG"))
 	h.line(r, `\+PONG`)
 	for _, b := range []byte(query("1", lookup)) { // in pieces
 		c.Write([]byte{b})
@@ -325,6 +337,81 @@
 	h.expect(r, "$2\r\nok\r\n")
 }
 
+// An error reaches a client that is still sending what it said it would, and is not lost to a reset.
+func TestErrorReachesAClientThatSendsOn(t *testing.T) {
+	h := open(t, 10, nil)
+	c, r := h.dial()
+	go func() {
+		io.WriteString(c, "*4\r\n$9\r\nSVC.QUERY\r\n$60000000\r\n")
+		for n := 0; n < 20; n++ {
+			c.Write(make([]byte, 8<<10))
+			time.Sleep(time.Millisecond)
+		}
+	}()
+	time.Sleep(60 * time.Millisecond)
+	h.line(r, "-ERR .+length.*")
+}
+
+// The id of an open transaction is refused, whoever sends it; once that has its answer, it means nothing.
+func TestIdOfAnOpenTransaction(t *testing.T) {
+	h := open(t, 10, nil)
+	c, r := h.dial()
+	io.WriteString(c, query("7", lookup))
+	shot := h.next()
+	other, s := h.dial()
+	io.WriteString(other, query("7", lookup))
+	h.line(s, "-ERR id .+")
+	shot.answer("*3\r\n$2\r\nok\r\n$-1\r\n$-1\r\n")
+	h.expect(r, "$2\r\nok\r\n")
+	io.WriteString(other, query("7", lookup))
+	shot = h.next()
+	shot.answer("*3\r\n$2\r\nok\r\n$-1\r\n$-1\r\n")
+	h.expect(s, "$2\r\nok\r\n")
+	h.server.mu.Lock()
+	defer h.server.mu.Unlock()
+	if len(h.server.ids) > 0 {
+		t.Errorf("%d ids are kept", len(h.server.ids))
+	}
+}
+
+// Failure: connections that said nothing, or half a command, were kept for good.
+func TestSilenceAndHalfCommandsAreTurnedAway(t *testing.T) {
+	h := open(t, 10, nil)
+	_, silent := h.dial()
+	half, s := h.dial()
+	io.WriteString(half, words("PING")+"*4\r\n$9\r\nSVC.QU")
+	h.line(s, `\+PONG`)
+	usual, r := h.dial()
+	io.WriteString(usual, words("PING"))
+	h.line(r, `\+PONG`)
+	start := time.Now()
+	h.line(silent, "-ERR .+")
+	h.line(s, "-ERR .+")
+	if took := time.Since(start); took < patience-100*time.Millisecond || took > patience+700*time.Millisecond {
+		t.Errorf("turned away after %v", took)
+	}
+	time.Sleep(2 * sweep)
+	io.WriteString(usual, words("PING"))
+	h.line(r, `\+PONG`)
+}
+
+// One who sends faults without end is read the more slowly, while others are served.
+func TestFaultsWithoutEnd(t *testing.T) {
+	h := open(t, 10, nil)
+	bad, s := h.dial()
+	go io.WriteString(bad, strings.Repeat(words("NONSENSE"), 3000))
+	h.line(s, "-ERR .+")
+	time.Sleep(300 * time.Millisecond)
+	c, r := h.dial()
+	io.WriteString(c, words("PING"))
+	h.line(r, `\+PONG`)
+	bad.SetReadDeadline(time.Now())
+	rest, _ := io.ReadAll(s)
+	if n := strings.Count(string(rest), "\n"); n > 20 {
+		t.Errorf("%d faults answered in a third of a second", n)
+	}
+}
+
 func TestAnswersOfBackends(t *testing.T) {
 	long := strings.Repeat("v", 64<<10)
 	for name, x := range map[string]struct{ class, first, want string }{
@@ -386,6 +473,20 @@
 	h.expect(r, "$2\r\nok\r\n")
 }
 
+// Failure: connections opened by the hundreds pushed out those of usual clients, quiet for a moment longer.
+func TestSilentConnectionsMakeRoomFirst(t *testing.T) {
+	h := open(t, 4, nil)
+	usual, r := h.dial()
+	io.WriteString(usual, words("PING"))
+	h.line(r, `\+PONG`)
+	for range 12 {
+		h.dial()
+		time.Sleep(fresh / 4)
+	}
+	io.WriteString(usual, words("PING"))
+	h.line(r, `\+PONG`)
+}
+
 func TestTheQuietestConnectionMakesRoom(t *testing.T) {
 	h := open(t, 2, nil)
 	busy, r := h.dial()
@@ -393,7 +494,7 @@
 	shot := h.next()
 	_, quiet := h.dial()
 	c, s := h.dial()
-	io.WriteString(c, resp("PING"))
+	io.WriteString(c, words("PING"))
 	h.line(s, `\+PONG`)
 	if _, err := quiet.ReadByte(); err == nil {
 		t.Error("the quiet connection is still open")
@@ -441,7 +542,7 @@
 	time.Sleep(300 * time.Millisecond)
 	for range 3 {
 		c, r := h.dial()
-		io.WriteString(c, resp("PING"))
+		io.WriteString(c, words("PING"))
 		h.line(r, `\+PONG`)
 	}
 }
--- /dev/null
+++ b/internal/resp/resp_test.go
@@ -0,0 +1,56 @@
+package resp
+
+import (
+	"bytes"
+	"fmt"
+	"math/rand"
+	"strings"
+	"testing"
+	"testing/quick"
+
+	"github.com/tidwall/redcon"
+)
+
+// Whole commands are read as redcon reads them, and cut short they ask for more.
+func TestCommandsAreReadAsByRedcon(t *testing.T) {
+	same := func(words [][]byte) bool {
+		words = append(words, []byte("x"))[:min(len(words)+1, mostWords)]
+		text := redcon.AppendArray(nil, len(words))
+		for _, w := range words {
+			text = redcon.AppendBulk(text, w)
+		}
+		size, got, err := Command(append(text, "*1"...), nil)
+		_, want, _, _, _ := redcon.ReadNextCommand(text, nil)
+		for n := 1; n < len(text); n++ {
+			if size, _, err := Command(text[:n], nil); size != 0 || err != nil {
+				return false
+			}
+		}
+		return err == nil && size == len(text) && bytes.Equal(bytes.Join(got, []byte{0}), bytes.Join(want, []byte{0}))
+	}
+	if err := quick.Check(same, &quick.Config{Rand: rand.New(rand.NewSource(2))}); err != nil {
+		t.Error(err)
+	}
+}
+
+// Failure: a value of 60 MB was waited for up to the size of the largest command, an endless line likewise.
+func TestLengthsAreJudgedBeforeWhatTheyCount(t *testing.T) {
+	for _, text := range []string{"*1\r\n$60000000\r\n", "*1\r\n$65537\r\n", "*1\r\n$-1\r\n", "*1\r\n$-5\r\n", "*0\r\n",
+		"*-1\r\n", "*17\r\n", "*9223372036854775807\r\n", "*x\r\n", "*\r\n", "*1\n", "*1\r\n$\r\n", "*1\r\n:4\r\n",
+		"*1\r\n$9223372036854775807\r\nx", "*1\r\n$2\r\nabc\r\n", "*" + strings.Repeat("1", 20), "PING\r\n", "\x00", "\r\n",
+		"*1\r\n$+4\r\nPING\r\n", "*1\r\n$" + strings.Repeat("0", 20), "$5 hello\r\n"} {
+		if size, _, err := Command([]byte(text), nil); size != 0 || err == nil {
+			t.Errorf("%.30q: %d, %v", text, size, err)
+		}
+	}
+	if size, _, err := Command(fmt.Appendf(nil, "*1\r\n$%d\r\n%s\r\n", MostValue, make([]byte, MostValue)), nil); size == 0 {
+		t.Errorf("the largest value: %v", err)
+	}
+	safe := func(b []byte) bool {
+		_, _, err := Command(append([]byte("*2\r\n$"), b...), nil)
+		return err == nil || err != nil
+	}
+	if err := quick.Check(safe, &quick.Config{MaxCount: 5000, Rand: rand.New(rand.NewSource(3))}); err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/sock/sock.go
+++ b/internal/sock/sock.go
@@ -106,9 +106,14 @@
 	}
 }
 
-// Quiet tells that the connection is up and that nothing has come on it that is not read yet. It does not wait,
-// also while another reads. One at a time may ask.
-func (c *Conn) Quiet() bool { return c.raw.Control(c.look) == nil && c.there == 0 }
+// Waiting tells what a read would meet: 1 bytes, 0 nothing yet, -1 the connection's end. It does not wait, also
+// while another reads. One at a time may ask.
+func (c *Conn) Waiting() int {
+	if c.raw.Control(c.look) != nil {
+		return -1
+	}
+	return c.there
+}
 
 // tryWrite writes on until all is written or the socket is full.
 func (c *Conn) tryWrite(fd uintptr) bool {
