Whole values of up to 1 MiB are passed on, not taken for spoilt answers

Logged what came: whole answers such as *3 $399832 ..., values of 65 to 400 KB. Ruled out: the counter (9% of its calls late, 14 silent connections) and noise (88 answers that stopped short). At fault: backend.mostAnswer, 68 KiB. Change: a value may have 1 MiB; buffers grow once, to what the head says; all large ones together hold 8 MiB at most.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -22,9 +22,15 @@
 )
 
 const (
-	mostLine   = 1 << 10  // of an error with its load report: several times what the settings' fields take
-	mostParts  = 8        // of an answer: value, figures, report, and room
-	mostAnswer = 68 << 10 // a value with its figures and report
+	mostLine  = 1 << 10 // of an error with its load report: several times what the settings' fields take
+	mostParts = 8       // of an answer: value, figures, report, and room
+	// mostValue is the largest value of an answer. The protocol says 64 KiB, but backends send whole values of
+	// 400 KB and more, which clients take; what is said to be far larger is no value.
+	mostValue  = 1 << 20
+	mostAnswer = mostValue + 4<<10 // a value with its figures and report
+	// mostLarge bounds what all connections together hold beyond plain answers: a quarter of the smallest memory.
+	mostLarge   = 8 << 20
+	plainAnswer = 68 << 10
 )
 
 // errCrowded says that no descriptor is left for a connection.
@@ -40,6 +46,7 @@
 	mu    sync.Mutex // of all that follows, and of every connection's state
 	peers map[policy.BackendID]*peer
 	conns int
+	large int // bytes held beyond plain answers
 }
 
 // peer is one backend.
@@ -59,6 +66,8 @@
 	came facade.Stage // how far it has come
 	used time.Time
 	down bool
+	// large is what it holds beyond a plain answer.
+	large int
 }
 
 // New makes a pool of at most so many connections. idle is the time after which backends close a connection;
@@ -257,6 +266,7 @@
 func (c *conn) read() {
 	defer stopPanic()
 	defer func() {
+		c.grow(nil)
 		c.pool.mu.Lock()
 		defer c.pool.mu.Unlock()
 		c.close()
@@ -275,20 +285,45 @@
 			c.answered(nil, 0, err, false)
 			return
 		case size == 0 && held == len(buf):
-			buf = append(buf, make([]byte, min(len(buf), mostAnswer-held))...)
-		case size > 0:
-			// Bytes behind it belong to nothing: the answer stands, and the connection ends.
-			if !c.answered(bytes.Clone(value), units, err, size == held) || size < held {
+			if buf = c.grow(buf); held == len(buf) {
+				c.answered(nil, 0, facade.Answered, false)
 				return
 			}
-			held = 0
-			if len(buf) > 4096 {
+		case size > 0:
+			if held = size - held; len(buf) > 4096 { // the value keeps the buffer
+				c.grow(nil)
 				buf = make([]byte, 4096)
+			} else {
+				value = bytes.Clone(value)
+			}
+			// Bytes behind it belong to nothing: the answer stands, and the connection ends.
+			if !c.answered(value, units, err, held == 0) || held < 0 {
+				return
 			}
 		}
 	}
 }
 
+// grow gives a buffer as large as what has come of an answer says that it becomes, or the same one where the
+// answer or all that is held would be too large; nil gives up what was held.
+func (c *conn) grow(buf []byte) []byte {
+	size := 0
+	if buf != nil {
+		_, at, _ := resp.Length(buf, '*', mostParts)
+		n, start, _ := resp.Length(buf[at:], '$', mostValue)
+		size = min(max(2*len(buf), at+start+n+mostLine), mostAnswer)
+	}
+	p, large := c.pool, max(size-plainAnswer, 0)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if size > 0 && p.large+large-c.large > mostLarge || size > 0 && size <= len(buf) {
+		return buf
+	}
+	p.large += large - c.large
+	c.large = large
+	return append(make([]byte, 0, size), buf...)[:size]
+}
+
 // parse judges what has come of an answer, each length before what it counts: the size of a whole one, its value
 // as it came and, where the figures on use tell them, the units that the transaction really counted; or the
 // error that the answer stands for. Size 0 without an error asks for more; with one, the answer is spoilt.
@@ -319,7 +354,7 @@
 		if at == len(b) {
 			return 0, nil, 0, nil
 		}
-		n, start, ok := resp.Length(b[at:], '$', resp.MostValue)
+		n, start, ok := resp.Length(b[at:], '$', mostValue)
 		if part > 0 && !ok && b[at] != '$' { // no figures or report that can be read, but perhaps in form
 			_, start, ok = resp.Line(b[at:], mostLine)
 			ok, n = ok && bytes.IndexByte([]byte("+-:"), b[at]) >= 0, -1
