A connection whose reader has noise in hand is not used again

Cause: between its reader's read and its taking of the pool's lock (backend.go, take) the bytes were neither waiting in the socket nor yet judged, so that Waiting said 0; the next shot could have met them as its answer. Now the raw read marks that bytes were taken, resting clears it, and take asks for both. The test waits until the reader has them in hand, which fails without the change; the window left is the few instructions between read and mark.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -117,8 +117,8 @@
 		to.warm[0].close()
 	}
 	for n := len(to.warm); n > 0; n = len(to.warm) {
-		// What its reader has not seen yet, bytes that belong to nothing or its end, must not meet the next shot.
-		if c = to.warm[n-1]; c.nc.Waiting() == 0 {
+		// What its reader has not dealt with, bytes that belong to nothing or its end, must not meet the next shot.
+		if c = to.warm[n-1]; c.nc.Settled() {
 			to.warm = to.warm[:n-1]
 			return c, to, nil
 		}
@@ -244,6 +244,7 @@
 	if c.peer.gone {
 		c.close()
 	} else if !c.down {
+		c.nc.Settle()
 		c.used = time.Now()
 		c.peer.warm = append(c.peer.warm, c)
 	}
--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -167,7 +167,8 @@
 	<-conns
 }
 
-// Failure: noise behind a good answer was taken for the answer to the next shot on the connection.
+// Failure: noise behind a good answer was taken for the answer to the next shot on the connection; its reader
+// may have read it already.
 func TestBytesBehindAnAnswerEndTheConnection(t *testing.T) {
 	p := New(10, 200*time.Millisecond, 10*time.Second, nil)
 	at, conns := listen(t, "")
@@ -175,9 +176,10 @@
 	c := warm(t, p, 1)
 	(<-conns).Write([]byte("*1\r\n$3\r\nold\r\n"))
 	p.mu.Lock() // its reader cannot get at the pool's state meanwhile
-	for c.nc.Waiting() == 0 {
+	for c.nc.Settled() {
 		time.Sleep(time.Millisecond)
 	}
+	time.Sleep(20 * time.Millisecond) // now it has them in hand
 	p.mu.Unlock()
 	if again, _, err := p.take(1); again != nil || err != nil || !c.down {
 		t.Errorf("%v, %v, closed: %t", again, err, c.down)
--- a/internal/sock/sock.go
+++ b/internal/sock/sock.go
@@ -11,6 +11,7 @@
 	"io"
 	"net"
 	"os"
+	"sync/atomic"
 	"syscall"
 	"time"
 	"unsafe"
@@ -25,6 +26,7 @@
 	in    []byte
 	inN   int
 	inErr syscall.Errno
+	taken atomic.Bool // bytes were read, and Settle not called since
 
 	look  func(fd uintptr)
 	there int // bytes that wait to be read; -1: the connection has ended
@@ -70,6 +72,7 @@
 		case syscall.EAGAIN:
 			return false
 		}
+		c.taken.Store(true)
 		c.inN, c.inErr = int(n), errno
 		return true
 	}
@@ -115,6 +118,13 @@
 	return c.there
 }
 
+// Settle says that all that was read belongs to what is over.
+func (c *Conn) Settle() { c.taken.Store(false) }
+
+// Settled tells whether nothing has come since, neither read nor waiting. It looks at what waits first: what is
+// no longer there then was taken before.
+func (c *Conn) Settled() bool { return c.Waiting() == 0 && !c.taken.Load() }
+
 // tryWrite writes on until all is written or the socket is full.
 func (c *Conn) tryWrite(fd uintptr) bool {
 	first := 0
