Counter test reads the client's state under its lock

The race detector saw TestMoveKeepsTheOrderOfANamesAnswers read the names while the last answer's teller was about to delete one; it now waits for that, at most two seconds.

--- a/internal/counter/counter_test.go
+++ b/internal/counter/counter_test.go
@@ -221,7 +221,15 @@
 	if _, err := old.conn.Read(make([]byte, 1)); err == nil {
 		t.Error("the old connection stays after its last answer")
 	}
-	if len(c.names) != 0 || len(c.old) != 0 {
-		t.Errorf("kept: %v, %v", c.names, c.old)
+	for until := time.Now().Add(2 * time.Second); ; time.Sleep(time.Millisecond) { // its last answer's teller ends
+		c.mu.Lock()
+		names, lines := len(c.names), len(c.old)
+		c.mu.Unlock()
+		if names+lines == 0 {
+			return
+		}
+		if time.Now().After(until) {
+			t.Fatalf("kept: %d names, %d connections", names, lines)
+		}
 	}
 }
