--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -58,6 +58,7 @@
 	pool    *backend.Pool
 	start   *config.Start
 	most    int           // connections at once
+	roomy   int           // connections from which on quiet ones make room
 	slowest time.Duration // that a client may take to take in an answer: longer than it may wait for one
 	mu      sync.Mutex
 	clients map[*client]struct{}
@@ -69,6 +70,10 @@
 func New(f *facade.Facade, pool *backend.Pool, start *config.Start, most int) *Server {
 	s := &Server{facade: f, pool: pool, start: start, most: most, slowest: time.Second,
 		clients: map[*client]struct{}{}, ids: map[string]struct{}{}}
+	// Clients hold at most a third of the descriptors. One that leaves its connections open and opens a new one
+	// for each request cannot come at all once they are that many: half of the third stays free for what is new.
+	// Hurts where more are kept that would each have been used again: those are opened anew.
+	s.roomy = min(max(start.Sockets/6, 1), most)
 	for _, p := range start.Terms.Profiles {
 		s.slowest = max(s.slowest, time.Duration(p.HardLimit)+time.Second)
 	}
@@ -127,10 +132,13 @@
 	c.since.Store(1)
 	c.room = sync.NewCond(&c.mu)
 	s.mu.Lock()
-	for len(s.clients) >= s.most {
-		if !s.closeQuiet() {
-			s.freed.Wait()
+	for len(s.clients) >= s.roomy {
+		if s.closeQuiet() {
+			continue
+		} else if len(s.clients) < s.most {
+			break
 		}
+		s.freed.Wait()
 	}
 	s.clients[c] = struct{}{}
 	s.mu.Unlock()
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -59,6 +59,7 @@
 	start := &config.Start{Terms: terms, Profiles: map[string]policy.ProfileID{"lookup": 0, "pay": 1},
 		Plans: map[string]policy.PlanID{"team": 0, "one": 1}, MostUnits: 8}
 	h.server = New(h.facade, h.pool, start, most)
+	h.server.roomy = most
 	h.at = h.listen()
 	go h.server.Serve(h.at)
 	for b := policy.BackendID(1); b <= 2; b++ {
@@ -488,6 +489,33 @@
 	h.line(r, `\+PONG`)
 }
 
+// Failure: clients that left their connections open held all that they may, and could not come any more.
+func TestQuietConnectionsLeaveClientsRoomForNewOnes(t *testing.T) {
+	h := open(t, 20, nil)
+	h.server.roomy = New(nil, nil, &config.Start{Sockets: 12}, 20).roomy
+	busy, r := h.dial()
+	io.WriteString(busy, query("1", lookup))
+	shot := h.next()
+	for range 30 {
+		c, s := h.dial()
+		io.WriteString(c, words("PING"))
+		h.line(s, `\+PONG`)
+	}
+	if n := h.server.Connections(); n != 2 {
+		t.Errorf("%d connections are held of 4 that clients may hold", n)
+	}
+	for n := range 2 { // those in use are not bounded by that
+		c, _ := h.dial()
+		io.WriteString(c, query(strconv.Itoa(2+n), lookup))
+		h.next()
+	}
+	if n := h.server.Connections(); n != 3 {
+		t.Errorf("%d connections for 3 open transactions", n)
+	}
+	shot.answer("*3\r\n$2\r\nok\r\n$-1\r\n$-1\r\n")
+	h.expect(r, "$2\r\nok\r\n")
+}
+
 func TestTheQuietestConnectionMakesRoom(t *testing.T) {
 	h := open(t, 2, nil)
 	busy, r := h.dial()
