--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -58,7 +58,7 @@
 	pool    *backend.Pool
 	start   *config.Start
 	most    int           // connections at once
-	roomy   int           // connections from which on quiet ones make room
+	roomy   int           // connections of usual clients from which on quiet ones make room
 	slowest time.Duration // that a client may take to take in an answer: longer than it may wait for one
 	mu      sync.Mutex
 	clients map[*client]struct{}
@@ -70,9 +70,9 @@
 func New(f *facade.Facade, pool *backend.Pool, start *config.Start, most int) *Server {
 	s := &Server{facade: f, pool: pool, start: start, most: most, slowest: time.Second,
 		clients: map[*client]struct{}{}, ids: map[string]struct{}{}}
-	// Clients hold at most a third of the descriptors. One that leaves its connections open and opens a new one
-	// for each request cannot come at all once they are that many: half of the third stays free for what is new.
-	// Hurts where more are kept that would each have been used again: those are opened anew.
+	// Usual clients hold at most a third of the descriptors. Where they leave their connections open and open a
+	// new one for each request, none can come once they are that many: half of the third stays free for those.
+	// Hurts where more are kept that would each have been used again: they are opened anew.
 	s.roomy = min(max(start.Sockets/6, 1), most)
 	for _, p := range start.Terms.Profiles {
 		s.slowest = max(s.slowest, time.Duration(p.HardLimit)+time.Second)
@@ -132,22 +132,32 @@
 	c.since.Store(1)
 	c.room = sync.NewCond(&c.mu)
 	s.mu.Lock()
-	for len(s.clients) >= s.roomy {
-		if s.closeQuiet() {
-			continue
-		} else if len(s.clients) < s.most {
-			break
+	for s.spoken() >= s.roomy && s.closeQuiet(true) {
+	}
+	for len(s.clients) >= s.most {
+		if !s.closeQuiet(false) {
+			s.freed.Wait()
 		}
-		s.freed.Wait()
 	}
 	s.clients[c] = struct{}{}
 	s.mu.Unlock()
 	go c.read()
 }
 
-// closeQuiet closes a connection that has nothing open, the longest quiet of the least missed; false says that
-// there is none. One with bytes that wait to be read is passed over while another will do.
-func (s *Server) closeQuiet() bool {
+// spoken tells how many connections have sent a command that is in order.
+func (s *Server) spoken() (n int) {
+	for c := range s.clients {
+		if c.spoke.Load() {
+			n++
+		}
+	}
+	return n
+}
+
+// closeQuiet closes a connection that has nothing open, the longest quiet of the least missed, of all or of
+// those that have spoken; false says that there is none. One with bytes that wait to be read is passed over
+// while another will do.
+func (s *Server) closeQuiet(spoken bool) bool {
 	type spare struct {
 		c     *client
 		rank  int
@@ -160,7 +170,7 @@
 		now := time.Now()
 		for c := range s.clients {
 			rank, since, ok := c.resting(now)
-			if ok && !passed[c] && (found.c == nil || rank < found.rank ||
+			if ok && !passed[c] && (c.spoke.Load() || !spoken) && (found.c == nil || rank < found.rank ||
 				rank == found.rank && since.Before(found.since)) {
 				found = spare{c, rank, since}
 			}
@@ -215,7 +225,7 @@
 	gone   bool         // the client is
 	shut   bool         // closed by us between transactions
 	ending bool         // turned away: nothing is taken any more
-	spoke  bool         // has sent a command that is in order
+	spoke  atomic.Bool  // has sent a command that is in order
 	last   atomic.Bool  // ends after the answers owed
 	since  atomic.Int64 // the age at which what has come of a command, or the silence, began; 0: neither
 	faults int          // of the reader: errors answered
@@ -242,11 +252,11 @@
 	switch quiet := now.Sub(c.quiet); {
 	case c.ending:
 		rank = 0
-	case !c.spoke && quiet > fresh:
+	case !c.spoke.Load() && quiet > fresh:
 		rank = 1
 	case quiet >= patience:
 		rank = 2
-	case !c.spoke:
+	case !c.spoke.Load():
 		rank = 3
 	default:
 		rank = 4
@@ -325,9 +335,7 @@
 				time.Sleep(min(time.Duration(c.faults)*10*time.Millisecond, longestPause))
 			} else if c.since.Load() != 0 {
 				c.since.Store(0)
-				c.mu.Lock()
-				c.spoke = true
-				c.mu.Unlock()
+				c.spoke.Store(true)
 			}
 		}
 		if c.since.Load() == 0 && len(rest) > 0 {
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -504,13 +504,17 @@
 	if n := h.server.Connections(); n != 2 {
 		t.Errorf("%d connections are held of 4 that clients may hold", n)
 	}
+	for range 5 { // those that say nothing do not count
+		h.dial()
+	}
+	time.Sleep(fresh / 2)
 	for n := range 2 { // those in use are not bounded by that
 		c, _ := h.dial()
 		io.WriteString(c, query(strconv.Itoa(2+n), lookup))
 		h.next()
 	}
-	if n := h.server.Connections(); n != 3 {
-		t.Errorf("%d connections for 3 open transactions", n)
+	if n := h.server.Connections(); n != 8 {
+		t.Errorf("%d connections for 3 open transactions and 5 silent ones", n)
 	}
 	shot.answer("*3\r\n$2\r\nok\r\n$-1\r\n$-1\r\n")
 	h.expect(r, "$2\r\nok\r\n")
