Shots cut off ease a backend out like errors, from the third in a row on

Checked: the resets come on single connections (526 in 25 s, spread over all backends, which answer on the others). Cause: settled took every CutOff for a symptom of a dead backend, 0.2 to 3.2 s of rest and a probe each. Ruled out: lateness, the counter (one second of an open breaker). A backend that died refuses the next shot, which still counts at once.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -729,13 +729,14 @@
 	case Rejected: // who gets into a full line is late, and a fleet of them is jammed
 		b.heard, g.heard, b.rest = now, now, max(b.rest, now+50*ms) // about what a full line takes to move on
 		b.measure(g, 2*b.late, s.level)
-	case Errored:
-		b.heard = now
-		b.errors++
-		if b.errors >= 3 { // rare single errors are normal
+	case Errored, CutOff:
+		if o == Errored {
+			b.heard = now
+		}
+		if b.errors++; b.errors >= 3 { // rare single ones are normal; one that died refuses the next shot
 			b.strike(g, now)
 		}
-	case Unreached, CutOff:
+	case Unreached:
 		b.strike(g, now)
 	}
 }
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -421,6 +421,27 @@
 }
 
 // Failure: tries without room were told to come back after the promised time, to be late for certain.
+// Failure: every connection reset under a shot had its backend left out for a while, until most were.
+func TestABrokenConnectionIsNoDeadBackend(t *testing.T) {
+	d := quiet(t, ready(1)...)
+	x := d.take(1, 0, 0, 1, 2*sec, 1)
+	d.settle(x, 0, CutOff)
+	if len(x.shots) != 2 {
+		t.Fatalf("%d shots, the first cut off: %q", len(x.shots), x.ended)
+	}
+	d.settle(x, 1, Fulfilled)
+	y := d.take(2, 0, 0, 1, 2*sec, 1)
+	for n := range 3 {
+		if len(y.shots) <= n {
+			t.Fatalf("left out after %d cut off", n)
+		}
+		d.settle(y, n, CutOff)
+	}
+	if z := d.take(3, 0, 0, 1, 2*sec, 1); len(z.shots) > 0 {
+		t.Error("still sent to after three in a row")
+	}
+}
+
 func TestNoRoomIsSaidAtOnceWithEarlyAdvice(t *testing.T) {
 	d := quiet(t)
 	for n := range 20 {
