--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -24,7 +24,9 @@
 )
 
 const (
-	waitMs = 20000 // how long a watch waits for news: the protocol's example
+	// waitMs is how long a watch waits for news. One whose answer was lost on the way looks like one without
+	// news until it ends: so long, and patience, the list may be old without anybody knowing. A call costs little.
+	waitMs = 2000
 	// patience is how long an answer may be late before the call is made anew: what discovery has to tell
 	// counts as told two seconds after a wait ends.
 	patience = time.Second
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -101,8 +101,8 @@
 	if again.how != policy.Whole || again.list[0].Stage != policy.Draining || len(again.known) != 1 {
 		t.Errorf("%+v", again)
 	}
-	for n, want := range []string{"/v1/endpoints", "/v1/endpoints?index=4&wait=20000",
-		"/v1/endpoints?index=5&wait=20000"} {
+	for n, want := range []string{"/v1/endpoints", "/v1/endpoints?index=4&wait=2000",
+		"/v1/endpoints?index=5&wait=2000"} {
 		if got := <-calls; got != want {
 			t.Errorf("call %d is %s, wanted %s", n, got, want)
 		}
@@ -184,7 +184,7 @@
 	if got := e.next(t); got.how != policy.Whole || len(got.list) != 1 || len(got.known) != 1 {
 		t.Errorf("%+v", got)
 	}
-	for _, want := range []string{"/v1/endpoints", "/v1/endpoints?index=4&wait=20000"} {
+	for _, want := range []string{"/v1/endpoints", "/v1/endpoints?index=4&wait=2000"} {
 		if got := <-others; got != want {
 			t.Errorf("call %s, wanted %s", got, want)
 		}
@@ -212,3 +212,20 @@
 			len(e.known))
 	}
 }
+
+// Failure: a watch whose answer never came left the list old for twenty seconds.
+func TestSilentWatchIsMadeAnewSoon(t *testing.T) {
+	c, e, calls := serve(t, false, lines(4, true, entry("s-1", "up")))
+	c.Follow()
+	e.next(t)
+	<-calls
+	<-calls // the watch, never answered
+	select {
+	case url := <-calls:
+		if url != "/v1/endpoints" {
+			t.Errorf("then %s", url)
+		}
+	case <-time.After(4 * time.Second): // two less than what discovery has to tell counts as told after
+		t.Error("not asked again within four seconds")
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -26,8 +26,7 @@
 		calls: map[CountID][]*call{}, kinds: map[KindID]*mean{}, customers: map[CustomerID]*customer{},
 		askAgain: 500 * ms, part: 1}
 	for _, p := range terms.Profiles {
-		// A twentieth of the promised time: the post's 45 of 300 ms is dear where the calls wait in line.
-		// Four fifths of the counter's own limit keep the wait below it.
+		// The post's 45 of 300 ms is dear where calls wait in line. Four fifths: below the counter's own limit.
 		wait := max(min(p.Promised/20, terms.CounterTimeout*4/5), ms)
 		g.profiles = append(g.profiles, profile{p, wait})
 	}
@@ -51,20 +50,24 @@
 func (g *Gate) tick(now int64) {
 	g.pace, g.answers = g.pace+0.1*(g.answers*10-g.pace), 0 // over about a second
 	if g.firsts >= early/2 {
-		// Falls with a quicker fleet in a second, and rises with a slower one in about a minute.
-		g.quick += 0.002*(g.all.value-g.quick) + 0.1*min(g.all.value-g.quick, 0)
-	}
-	for _, b := range g.listed {
-		b.pace.count *= 0.98 // what is known of a single backend fades in five seconds
+		// Falls with a quicker fleet in a second, and rises with a slower one in about a minute; in two seconds
+		// while fewer are out than one a backend and none is full: it is slow of itself then, cold, say.
+		rise := 0.002
+		if now-g.full > sec && g.pace*g.all.value < g.each()*float64(sec) {
+			rise = 0.05
+		}
+		g.quick += rise*(g.all.value-g.quick) + 0.1*min(g.all.value-g.quick, 0)
 	}
+	fade := 0.98           // what is known of a single backend fades in five seconds
 	if now-g.heard > sec { // a door that took a jam for granted would send nothing more and learn nothing
+		fade *= 0.97
 		g.all.value *= 0.97         // forgotten in three seconds
 		for _, k := range g.kinds { // each by itself: the order does not matter
 			k.value *= 0.97
 		}
-		for _, b := range g.listed {
-			b.pace.count *= 0.97
-		}
+	}
+	for _, b := range g.listed {
+		b.pace.count *= fade
 	}
 	g.dropGone()
 	g.rank(now)
@@ -248,8 +251,7 @@
 	if ok {
 		g.fails = 0
 	}
-	// A second, with chance so that the doors do not try together: the post's ten would outlast most
-	// failures.
+	// A second, and chance so that doors do not try together: the post's ten would outlast most failures.
 	g.resume = now + sec + int64(g.chance.Float64()*float64(sec)/4)
 }
 
@@ -490,8 +492,7 @@
 	t.shots[n].level, t.shots[n].early = float64(b.out), g.sent < early
 	g.sent++
 	b.sent = now
-	// Few answers take six times the usual; more than seven tenths would leave too little time for another
-	// shot.
+	// Few take six times the usual; beyond seven tenths too little time is left for another shot.
 	patience := min(max(int64(6*g.all.value), t.profile.Promised*4/10), t.profile.Promised*7/10)
 	var expire int64
 	if !g.terms.SecondCopies && !g.terms.Recalls && t.profile.Effect != AtMostOnce &&
@@ -641,11 +642,10 @@
 	g.rank(now)
 }
 
-// rank renews the order of the backends: by the answer time against that of their kind, in steps of some 40%,
-// since finer differences are chance; then those of the own zone where crossing has a price; then those not
-// sent to for the longest, by their size, so that doors do not crowd the same ones. An answer time counts as
-// far as it was measured: many doors see little of each. The limits follow the answer times. A cold one is
-// bounded by its budget alone: work may be what warms it.
+// rank orders the backends by the answer time against that of their kind, in steps of some 40% (finer ones are
+// chance); then those of the own zone where crossing has a price; then those not sent to for the longest, by
+// size, so that doors do not crowd the same ones. An answer time counts as far as it was measured: many doors
+// see little of each. Limits follow it. A cold one has its budget alone: work may be what warms it.
 func (g *Gate) rank(now int64) {
 	g.ranked = g.ranked[:0]
 	for _, b := range g.listed {
@@ -670,6 +670,9 @@
 	})
 }
 
+// each is a door's part of one shot at each backend.
+func (g *Gate) each() float64 { return float64(len(g.ranked)) / float64(max(g.terms.Doors, 1)) }
+
 // load is how full one more shot would make the backend, as a share of its limit.
 func (b *backend) load() float64 { return float64(b.out+1) / b.limit }
 
@@ -684,8 +687,7 @@
 	if g.firsts >= early/2 {
 		most = min(most, 2.5*g.quick)
 	}
-	each := float64(len(g.ranked)) / float64(max(g.terms.Doors, 1))
-	if float64(g.out) >= 2+each+1.3*g.pace*most/float64(sec) {
+	if float64(g.out) >= 2+g.each()+1.3*g.pace*most/float64(sec) {
 		return nil
 	}
 	for _, b := range g.ranked {
@@ -698,7 +700,8 @@
 				load += 2
 			}
 		}
-		if b.late*float64(b.out+3)/(b.level+2) > most { // two: the others' share of a line is not known
+		// Two: the others' share of a line is not known. One: the level of a backend that is not measured yet.
+		if b.late*float64(b.out+3)/(max(b.level, 1)+2) > most {
 			continue
 		}
 		if load <= 1 {
@@ -727,12 +730,10 @@
 		}
 		b.measure(g, float64(elapsed), s.level)
 	case Rejected: // who gets into a full line is late, and a fleet of them is jammed
-		b.heard, g.heard, b.rest = now, now, max(b.rest, now+50*ms) // about what a full line takes to move on
+		b.heard, g.heard, g.full, b.rest = now, now, now, max(b.rest, now+50*ms) // about what a full line takes to move on
 		b.measure(g, 2*b.late, s.level)
 	case Errored, CutOff:
-		if o == Errored {
-			b.heard = now
-		}
+		b.heard = now
 		if b.errors++; b.errors >= 3 { // rare single ones are normal; one that died refuses the next shot
 			b.strike(g, now)
 		}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -494,6 +494,32 @@
 
 // Failure: after a mass restart many doors of few shots each kept the rest of the fleet jammed: full lines
 // turned shots away at once and taught nothing, and late answers taught too late.
+// Failure: where backends became slow of themselves, as cold ones are, doors that had seen quick ones sent next
+// to nothing, and nothing at all to new ones, which were never measured.
+func TestSlowFleetIsNoJam(t *testing.T) {
+	d, sent := quiet(t, ready(1, 2, 3, 4)...), 0
+	for n := range 100 {
+		x := d.take(TransactionID(n), 0, 0, CustomerID(n), 2*sec, 1)
+		d.pass(40 * ms)
+		if n >= 40 {
+			d.pass(170 * ms)
+		}
+		for i := range x.shots {
+			d.settle(x, i, Fulfilled)
+		}
+		if n >= 80 {
+			sent += len(x.shots)
+		}
+	}
+	if sent < 18 {
+		t.Errorf("%d of 20 sent, one after another, to a fleet that answers in time", sent)
+	}
+	d.list(Whole, ready(11, 12)...)
+	if x := d.take(200, 0, 0, 200, 2*sec, 1); len(x.shots) != 1 {
+		t.Error("nothing sent to a new backend of that kind")
+	}
+}
+
 func TestJamShowsBeforeItsAnswers(t *testing.T) {
 	for _, o := range []Outcome{Rejected, Fulfilled} {
 		terms := plainTerms()
--- a/policy/state.go
+++ b/policy/state.go
@@ -63,6 +63,7 @@
 	all           mean // answer time of the backends together
 	kinds         map[KindID]*mean
 	heard         int64   // when any last answered
+	full          int64   // when any last turned a shot away
 	quick         float64 // the usual answer time of quiet moments; 0: unknown
 	out           int     // shots out
 	answers, pace float64 // since the last tick; a second
