--- a/policy/policy.go
+++ b/policy/policy.go
@@ -642,7 +642,7 @@
 	g.rank(now)
 }
 
-// rank orders the backends by the answer time against that of their kind, in steps of some 40% (finer ones are
+// rank orders the backends by the answer time against that of their kind, in steps of some 40% (finer is
 // chance); then those of the own zone where crossing has a price; then those not sent to for the longest, by
 // size, so that doors do not crowd the same ones. An answer time counts as far as it was measured: many doors
 // see little of each. Limits follow it. A cold one has its budget alone: work may be what warms it.
@@ -730,7 +730,7 @@
 		}
 		b.measure(g, float64(elapsed), s.level)
 	case Rejected: // who gets into a full line is late, and a fleet of them is jammed
-		b.heard, g.heard, g.full, b.rest = now, now, now, max(b.rest, now+50*ms) // about what a full line takes to move on
+		b.heard, g.heard, g.full, b.rest = now, now, now, max(b.rest, now+50*ms) // a full line moves by then
 		b.measure(g, 2*b.late, s.level)
 	case Errored, CutOff:
 		b.heard = now
