A connection rests only once the writer of its last shot is done

Seen under the race detector, with other tests taking processors: two goroutines in WriteParts of one connection. An answer may come before its shot's writer has run on after the system call; the reader then put the connection among the warm ones (backend.go, answered), and the next shot's writer set up its parts while the first still looked at them: bytes might have gone out twice.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -104,6 +104,9 @@
 	used time.Time
 	rest time.Duration // before the shot; below 0: there was none
 	down bool
+	// An answer may come before the writer is done with the connection: writing says that it is not yet, and
+	// free that the connection is to rest then.
+	writing, free bool
 	// large is what it holds beyond a plain answer.
 	large int
 }
@@ -236,7 +239,7 @@
 		p.mu.Unlock()
 		return
 	}
-	c.shot, c.came = s, facade.Writing
+	c.shot, c.came, c.writing = s, facade.Writing, true
 	p.mu.Unlock()
 	whole := int64(0)
 	for _, part := range command {
@@ -244,6 +247,7 @@
 	}
 	n, err := c.nc.WriteParts(command...)
 	p.mu.Lock()
+	c.wrote()
 	if c.shot != s { // answered meanwhile
 		p.mu.Unlock()
 		return
@@ -279,6 +283,14 @@
 	return false
 }
 
+// wrote says that the writer is done; the connection rests if its shot is. The pool's lock is held.
+func (c *conn) wrote() {
+	if c.writing = false; c.free {
+		c.free = false
+		c.settle()
+	}
+}
+
 // noteRest notes how a shot ended on a connection that had rested. The pool's lock is held.
 func (c *conn) noteRest(ended bool) {
 	if c.rest >= 0 {
@@ -292,7 +304,6 @@
 	if c.peer.gone {
 		c.close()
 	} else if !c.down {
-		c.nc.Settle()
 		c.used = time.Now()
 		c.peer.warm = append(c.peer.warm, c)
 	}
@@ -456,7 +467,11 @@
 	c.shot = nil
 	c.noteRest(false)
 	if s != nil && rest {
-		c.settle()
+		c.nc.Settle()
+		c.free = true
+		if !c.writing {
+			c.wrote()
+		}
 	}
 	p.mu.Unlock()
 	if s != nil {
--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -186,6 +186,35 @@
 	}
 }
 
+// Failure: an answer that came before its shot's writer was done had the next shot written among the first one's
+// last steps.
+func TestConnectionRestsOnceItsWriterIsDone(t *testing.T) {
+	p := New(10, 200*time.Millisecond, 10*time.Second, nil)
+	at, _ := listen(t, "")
+	p.Place(1, at)
+	c := warm(t, p, 1)
+	if got, _, _ := p.take(1); got != c {
+		t.Fatal("not warm")
+	}
+	s := &facade.Shot{}
+	p.mu.Lock()
+	c.shot, c.writing = s, true
+	p.mu.Unlock()
+	func() {
+		defer func() { recover() }() // nobody is told of this shot
+		c.answered(nil, 0, nil, true)
+	}()
+	if got, _, _ := p.take(1); got != nil {
+		t.Error("given out while it is written to")
+	}
+	p.mu.Lock()
+	c.wrote()
+	p.mu.Unlock()
+	if got, _, _ := p.take(1); got != c {
+		t.Error("not warm after the writer is done")
+	}
+}
+
 // What large answers hold is bounded over all connections, and given back.
 func TestLargeAnswersAreBoundedTogether(t *testing.T) {
 	p := New(100, 200*time.Millisecond, 10*time.Second, nil)
