--- a/policy/policy.go
+++ b/policy/policy.go
@@ -492,12 +492,16 @@
 	t.shots[n].level, t.shots[n].early = float64(b.out), g.sent < early
 	g.sent++
 	b.sent = now
-	// Few take six times the usual; beyond seven tenths too little time is left for another shot.
-	patience := min(max(int64(6*g.all.value), t.profile.Promised*4/10), t.profile.Promised*7/10)
+	// Few take four times the usual for their units.
+	patience := max(int64(4*g.all.value*g.stretch(t.units)), t.profile.Promised*4/10)
 	var expire int64
+	if t.profile.LateUtility <= 0 {
+		expire = t.promised // what is begun later is worth nothing
+	}
 	if !g.terms.SecondCopies && !g.terms.Recalls && t.profile.Effect != AtMostOnce &&
 		len(t.shots) < g.terms.MostShots {
-		expire = now + patience // nothing else makes room for another shot
+		// Nothing else makes room for another shot; beyond seven tenths too little time is left for one.
+		expire = now + min(patience, t.profile.Promised*7/10)
 	}
 	g.door.Shoot(t.id, b.id, expire)
 	g.at(now+patience, &t.shots[n].out, func(now int64) { t.look(now, n) })
@@ -512,7 +516,7 @@
 	if g.out--; t.over || t.started {
 		return
 	}
-	s.to.measure(g, float64(now-s.sent), s.level) // a jam shows here before its answers come
+	s.to.measure(g, float64(now-s.sent)/g.stretch(t.units), s.level) // a jam shows here before its answers come
 	if s.to.heard > s.sent {
 		return
 	}
@@ -545,7 +549,7 @@
 	s.out, s.harmed = false, o != Rejected && o != Unreached && o != Moot
 	t.out--
 	t.customer.out--
-	s.to.settled(g, now, s, o, elapsed)
+	s.to.settled(g, now, s, o, elapsed, t.units)
 	if o == Fulfilled && g.terms.PostPaid && trueUnits > 0 && t.inside {
 		t.customer.owed += trueUnits - t.units // goes along with the next call
 		t.customer.spent += trueUnits - t.units
@@ -683,7 +687,7 @@
 // themselves before late answers come. Hurts where a door's traffic rises many times within a second.
 func (g *Gate) pick(now int64, t *Transaction) *backend {
 	var best *backend
-	least, most := math.Inf(1), float64(t.promised-now)/3
+	least, most := math.Inf(1), float64(t.promised-now)/2/g.stretch(t.units)
 	if g.firsts >= early/2 {
 		most = min(most, 2.5*g.quick)
 	}
@@ -715,7 +719,7 @@
 }
 
 // settled learns from how a shot ended.
-func (b *backend) settled(g *Gate, now int64, s *shot, o Outcome, elapsed int64) {
+func (b *backend) settled(g *Gate, now int64, s *shot, o Outcome, elapsed int64, units float64) {
 	b.out--
 	if !s.overdue {
 		g.out--
@@ -724,11 +728,13 @@
 	case Fulfilled:
 		g.answers++
 		b.heard, g.heard, b.strikes, b.errors = now, now, 0, 0
+		took := float64(elapsed) / g.stretch(units)
 		if s.early { // the first shots of a door's life meet the lines before it has filled them
 			g.firsts++
-			g.quick += (float64(elapsed) - g.quick) / g.firsts
+			g.quick += (took - g.quick) / g.firsts
 		}
-		b.measure(g, float64(elapsed), s.level)
+		b.measure(g, took, s.level)
+		g.sizes.add(units, float64(elapsed), 200)
 	case Rejected: // who gets into a full line is late, and a fleet of them is jammed
 		b.heard, g.heard, g.full, b.rest = now, now, now, max(b.rest, now+50*ms) // a full line moves by then
 		b.measure(g, 2*b.late, s.level)
@@ -807,3 +813,11 @@
 		(mix(uint64(b.id))+uint64(min(number, 1e15)))%uint64(doors) == uint64(g.terms.Me%doors) &&
 		float64(now-b.sent)*rate*(g.terms.ColdShare+rise*risen) >= 0.75*float64(doors)
 }
+
+// stretch is how much longer than the mean one a transaction of so many units takes, as far as was seen: a
+// unit may stand for work. Without it a large one passes for a slow backend, and a small one for a quick one.
+func (g *Gate) stretch(units float64) float64 {
+	m := &g.sizes
+	rise := max(m.across/(m.spread+1e-9), 0) * m.count / (m.count + 20)
+	return max(1+rise*(units-m.units)/max(m.took, 1), 0.25)
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -44,6 +44,18 @@
 	return (m.value*m.count + guess*weight) / (m.count + weight)
 }
 
+// sizes is what was seen lately of how the answer time follows the units.
+type sizes struct{ count, units, took, spread, across float64 } // number, means, variance, covariance
+
+func (m *sizes) add(units, took, most float64) {
+	m.count = min(m.count+1, most)
+	du, dt := units-m.units, took-m.took
+	m.units += du / m.count
+	m.took += dt / m.count
+	m.spread += (du*(units-m.units) - m.spread) / m.count
+	m.across += (du*(took-m.took) - m.across) / m.count
+}
+
 // Gate is one front door's decisions and all that they remember.
 type Gate struct {
 	door          Door
@@ -62,6 +74,7 @@
 	customers     map[CustomerID]*customer
 	all           mean // answer time of the backends together
 	kinds         map[KindID]*mean
+	sizes         sizes
 	heard         int64   // when any last answered
 	full          int64   // when any last turned a shot away
 	quick         float64 // the usual answer time of quiet moments; 0: unknown
