--- a/policy/policy.go
+++ b/policy/policy.go
@@ -687,7 +687,7 @@
 // themselves before late answers come. Hurts where a door's traffic rises many times within a second.
 func (g *Gate) pick(now int64, t *Transaction) *backend {
 	var best *backend
-	least, most := math.Inf(1), float64(t.promised-now)/2/g.stretch(t.units)
+	least, most := math.Inf(1), float64(t.promised-now)/3/g.stretch(t.units)
 	if g.firsts >= early/2 {
 		most = min(most, 2.5*g.quick)
 	}
@@ -806,8 +806,9 @@
 	}
 	age, risen := float64(now-b.started), float64(max(now-b.started-g.terms.FallSpan, 0))
 	rise, rate := (1-g.terms.ColdShare)/float64(g.terms.WarmUp), g.terms.FallMultiple/2/max(work, 1)
-	number := rate * (g.terms.ColdShare*age + rise*risen*risen/2)
 	doors := max(g.terms.Doors, 1)
+	rate = max(rate, g.pace*float64(doors)/float64(max(len(g.ranked), 1)))
+	number := rate * (g.terms.ColdShare*age + rise*risen*risen/2)
 	// Three quarters of the time between a door's turns: a change in what is measured shifts the numbers.
 	return now-g.born >= g.terms.FallSpan &&
 		(mix(uint64(b.id))+uint64(min(number, 1e15)))%uint64(doors) == uint64(g.terms.Me%doors) &&
