--- a/policy/policy.go
+++ b/policy/policy.go
@@ -495,9 +495,6 @@
 	// Few take four times the usual for their units.
 	patience := max(int64(4*g.all.value*g.stretch(t.units)), t.profile.Promised*4/10)
 	var expire int64
-	if t.profile.LateUtility <= 0 {
-		expire = t.promised // what is begun later is worth nothing
-	}
 	if !g.terms.SecondCopies && !g.terms.Recalls && t.profile.Effect != AtMostOnce &&
 		len(t.shots) < g.terms.MostShots {
 		// Nothing else makes room for another shot; beyond seven tenths too little time is left for one.
@@ -643,9 +640,32 @@
 		}
 		b.kind = g.kinds[l.Kind]
 	}
+	g.parts()
 	g.rank(now)
 }
 
+// parts lays the ready backends out in a ring, in an order that all doors share, and reckons how many doors'
+// parts each lies away from this door's own.
+func (g *Gate) parts() {
+	ring, total := []*backend{}, 0.0
+	for _, b := range g.listed {
+		if b.ready {
+			ring, total = append(ring, b), total+b.size
+		}
+	}
+	slices.SortFunc(ring, func(a, b *backend) int { return cmp.Compare(mix(uint64(a.id)), mix(uint64(b.id))) })
+	part := total / float64(max(g.terms.Doors, 1))
+	at := -part * float64(g.terms.Me)
+	for _, b := range ring {
+		away := at
+		if away < 0 {
+			away += total
+		}
+		b.away = math.Floor(away/max(part, total/float64(len(ring))) + slop)
+		at += b.size
+	}
+}
+
 // rank orders the backends by the answer time against that of their kind, in steps of some 40% (finer is
 // chance); then those of the own zone where crossing has a price; then those not sent to for the longest, by
 // size, so that doors do not crowd the same ones. An answer time counts as far as it was measured: many doors
@@ -667,10 +687,14 @@
 		if g.terms.CrossZonePrice > 0 && b.zone != g.terms.Zone {
 			b.key += 0.5
 		}
+		if g.cold(now, b) {
+			b.key-- // its turns are few: none is to be lost
+		}
 		b.due = float64(now-b.sent) * b.size
 	}
 	slices.SortFunc(g.ranked, func(a, b *backend) int {
-		return cmp.Or(cmp.Compare(a.key, b.key), cmp.Compare(b.due, a.due), cmp.Compare(a.id, b.id))
+		return cmp.Or(cmp.Compare(a.key, b.key), cmp.Compare(a.away, b.away), cmp.Compare(b.due, a.due),
+			cmp.Compare(a.id, b.id))
 	})
 }
 
--- a/policy/state.go
+++ b/policy/state.go
@@ -175,6 +175,7 @@
 	strikes  int     // symptoms of illness since the last good answer
 	errors   int     // errors in a row
 	key, due float64 // of its rank
+	away     float64 // doors' parts between this door's own and the one it lies in
 }
 
 // dropGone forgets the backends that are gone once nothing is out there: others come under new ids without end.
