--- a/policy/policy.go
+++ b/policy/policy.go
@@ -100,7 +100,7 @@
 		t.drawn = t.units
 	}
 	switch {
-	case t.plan.Parallel > 0 && t.customer.out >= max(t.plan.Parallel/int(t.entries), 1):
+	case t.plan.Parallel > 0 && t.customer.out >= max(t.parallel(), 1):
 		t.beyond(now)
 	case t.plan.Rate <= 0:
 		t.letIn(now, true)
@@ -110,6 +110,17 @@
 	return t
 }
 
+// parallel is how many shots the customer may have out from here: the cap, less what the other doors likely
+// have out. No door knows that; a customer at its rate keeps so many out, and without a rate half the cap is
+// a guess. An even part of the cap would be one shot for each door of many, and dismiss what is inside.
+func (t *Transaction) parallel() int {
+	most, others := float64(t.plan.Parallel), 1-t.customer.part(t.entries)
+	if t.plan.Rate > 0 {
+		return int(math.Ceil(most - others*t.plan.Rate/t.units*t.gate.all.value/float64(sec)))
+	}
+	return int(math.Ceil(most - others*most/2))
+}
+
 func (g *Gate) customer(now int64, id CustomerID, t *Transaction) *customer {
 	c, p := g.customers[id], t.plan
 	if c == nil {
