--- a/policy/policy.go
+++ b/policy/policy.go
@@ -116,7 +116,7 @@
 func (t *Transaction) parallel() int {
 	most, others := float64(t.plan.Parallel), 1-t.customer.part(t.entries)
 	if t.plan.Rate > 0 {
-		return int(math.Ceil(most - others*t.plan.Rate/t.units*t.gate.all.value/float64(sec)))
+		return int(math.Ceil(most - 2*others*t.plan.Rate/t.units*t.gate.all.value/float64(sec)))
 	}
 	return int(math.Ceil(most - others*most/2))
 }
