--- a/policy/policy.go
+++ b/policy/policy.go
@@ -36,6 +36,9 @@
 			// The counter drops numbers after a minute; the lower bound keeps absurd plans from spinning.
 			row.window = span(min(max(p.Burst/p.Rate, 0.01), 50))
 			row.quota = p.Rate * float64(row.window) / float64(sec)
+			if p.Parallel > 0 { // far above any units of a window, and still told exactly beside them
+				row.mark = math.Exp2(math.Ceil(math.Log2(64 * max(row.quota, 1))))
+			}
 		}
 		g.plans = append(g.plans, row)
 	}
@@ -100,7 +103,7 @@
 		t.drawn = t.units
 	}
 	switch {
-	case t.plan.Parallel > 0 && t.customer.out >= max(t.parallel(), 1):
+	case t.plan.Parallel > 0 && (t.customer.out >= t.plan.Parallel || t.plan.Rate <= 0 && t.capped()):
 		t.beyond(now)
 	case t.plan.Rate <= 0:
 		t.letIn(now, true)
@@ -110,15 +113,20 @@
 	return t
 }
 
-// parallel is how many shots the customer may have out from here: the cap, less what the other doors likely
-// have out. No door knows that; a customer at its rate keeps so many out, and without a rate half the cap is
-// a guess. An even part of the cap would be one shot for each door of many, and dismiss what is inside.
-func (t *Transaction) parallel() int {
-	most, others := float64(t.plan.Parallel), 1-t.customer.part(t.entries)
-	if t.plan.Rate > 0 {
-		return int(math.Ceil(most - 2*others*t.plan.Rate/t.units*t.gate.all.value/float64(sec)))
+// others is how many shots of the customer the other doors likely have out: what its rate keeps out, twice,
+// since those who near the cap are the busy ones; without a rate, half the cap is a guess.
+func (t *Transaction) others() float64 {
+	elsewhere := 1 - t.customer.part(t.entries)
+	if t.plan.Rate <= 0 {
+		return elsewhere * float64(t.plan.Parallel) / 2
 	}
-	return int(math.Ceil(most - others*most/2))
+	return 2 * elsewhere * t.plan.Rate / t.units * t.gate.all.value / float64(sec)
+}
+
+// capped says, without the counter, whether the customer has as many shots out as it may.
+func (t *Transaction) capped() bool {
+	out := float64(t.customer.out)
+	return t.plan.Parallel > 0 && out > 0 && out+t.others() >= float64(t.plan.Parallel)
 }
 
 func (g *Gate) customer(now int64, id CustomerID, t *Transaction) *customer {
@@ -179,7 +187,7 @@
 	}
 	c.owed = 0 // what a long silence left owing has been refilled since, but for what is carried
 	c.missing, c.heard, c.righted, c.lacks = c.known, 0, 0, 0
-	c.start, c.name = start, CountID(mix(own+uint64(shifted/w)))
+	c.start, c.name, c.told = start, CountID(mix(own+uint64(shifted/w))), 0
 }
 
 // refilled is what the rate has given since the window's start. Where a customer's doors outnumber a window's
@@ -209,6 +217,7 @@
 		return
 	}
 	t.asking = true
+	c.asks++
 	// A crowded counter hears of a part of the transactions only: each stands for the others let in too.
 	k := g.count(now, c, t, t.units*(1+(1/max(g.part, 0.2)-1)*t.chance()), c.owed)
 	c.owed = 0
@@ -221,6 +230,7 @@
 	k.waits = false
 	g.called(now, ok)
 	if k.t.asking { // its client has not left meanwhile
+		k.c.asks--
 		k.t.decide(now, in, k)
 	}
 }
@@ -229,7 +239,9 @@
 	k := &call{c: c, t: t, start: c.start, amount: units + more, units: units, righted: c.righted,
 		waits: t != nil}
 	g.calls[c.name] = append(g.calls[c.name], k)
-	g.door.Count(c.name, k.amount, min(c.start+2*c.plan.window-now+sec, 60*sec))
+	k.shots = c.out + c.asks - c.told
+	c.told += k.shots
+	g.door.Count(c.name, k.amount+float64(k.shots)*c.plan.mark, min(c.start+2*c.plan.window-now+sec, 60*sec))
 	return k
 }
 
@@ -280,6 +292,9 @@
 		if k.waits {
 			k.answered(g, now, false, t.share(now))
 		}
+		if (o == Rejected || o == Unreached) && k.start == c.start {
+			c.told -= k.shots
+		}
 		// Else it was added, by a slow counter likely, or by one whose answer was spoilt (CutOff) for certain.
 		if o != CutOff && (o != TimedOut || g.fails >= breakAt) {
 			c.owed += k.amount
@@ -289,6 +304,11 @@
 		}
 		return
 	}
+	out := 0.0
+	if c.plan.mark > 0 {
+		out = math.Round(total / c.plan.mark)
+		total -= out * c.plan.mark
+	}
 	// The total lacks what the burst cannot hold of the refill, what the last window left used, and what a
 	// counter lost that came back empty. The customer's doors put right what they know to be missing in an
 	// order of the window's own, each if the ones before did not: two at once would shut the customer out.
@@ -320,7 +340,11 @@
 	}
 	if k.waits {
 		room := c.plan.quota + refilled - total + k.units - t.units
-		k.answered(g, now, true, room+slop >= 0)
+		in := room+slop >= 0
+		if c.plan.mark > 0 && out > float64(c.plan.Parallel) {
+			in = false // what is let in without a call goes unseen
+		}
+		k.answered(g, now, true, in)
 		c.learn(min(max(room+t.units, 0)/t.units, 1))
 	}
 	if !k.in && c.close {
@@ -332,15 +356,24 @@
 		return
 	}
 	c.known, c.heard = total, total-c.missing
-	if math.Abs(right) > slop {
+	if math.Abs(right) > slop || c.lapsed(now) {
 		c.righted += right
 		g.count(now, c, nil, 0, right)
 	}
 }
 
+// lapsed says whether the window's count holds more shots of this door than are out. The cap on shots out is
+// counted beside the units, in the same call; only the end of a shot needs one of its own.
+func (c *customer) lapsed(now int64) bool {
+	return c.plan.mark > 0 && c.told > c.out+c.asks && now < c.start+c.plan.window
+}
+
 // share decides without the counter: by the profile's preset, or by the door's share of the quota.
 func (t *Transaction) share(now int64) bool {
 	c := t.customer
+	if t.capped() {
+		return false
+	}
 	switch t.profile.Silence {
 	case LetAll:
 		return true
@@ -572,6 +605,9 @@
 	default:
 		t.send(now)
 	}
+	if t.customer.lapsed(now) && g.fails < breakAt && g.mayCall(now) {
+		g.count(now, t.customer, nil, 0, 0)
+	}
 }
 
 // Left tells that the client is gone: no answer is owed any more.
@@ -605,6 +641,9 @@
 }
 
 func (t *Transaction) finish() {
+	if t.asking {
+		t.customer.asks--
+	}
 	t.over, t.asking = true, false
 	if len(t.shots) == 0 {
 		t.customer.ceiling += t.drawn
--- a/policy/state.go
+++ b/policy/state.go
@@ -27,6 +27,7 @@
 	PlanTerms
 	window  int64   // the time in which the rate fills one burst
 	quota   float64 // units a window
+	mark    float64 // what a shot out counts beside the units, under a cap on shots out; 0: there is none
 	granted mean
 }
 
@@ -110,6 +111,8 @@
 	spent   float64 // units let in here that the door's share has not refilled yet
 	at      int64   // when spent was last reckoned
 	out     int     // shots out
+	asks    int     // transactions that wait for the counter
+	told    int     // of both, what this window's count holds
 	ceiling float64
 	filled  int64 // when the ceiling's store was last reckoned
 }
@@ -121,6 +124,7 @@
 	start         int64        // of the window that the count belongs to
 	amount, units float64
 	righted       float64 // the customer's, when the call was made
+	shots         int     // told along
 	waits, in     bool    // decides t when it is answered; t was let in
 }
 
