--- a/policy/policy.go
+++ b/policy/policy.go
@@ -536,8 +536,8 @@
 	t.shots[n].level, t.shots[n].early = float64(b.out), g.sent < early
 	g.sent++
 	b.sent = now
-	// Few take four times the usual for their units.
-	patience := max(int64(4*g.all.value*g.stretch(t.units)), t.profile.Promised*4/10)
+	// Few take five times the usual for their units.
+	patience := max(int64(5*g.all.value*g.stretch(t.units)), t.profile.Promised*4/10)
 	var expire int64
 	if !g.terms.SecondCopies && !g.terms.Recalls && t.profile.Effect != AtMostOnce &&
 		len(t.shots) < g.terms.MostShots {
@@ -761,7 +761,7 @@
 // themselves before late answers come. Hurts where a door's traffic rises many times within a second.
 func (g *Gate) pick(now int64, t *Transaction) *backend {
 	var best *backend
-	least, most := math.Inf(1), float64(t.promised-now)/3/g.stretch(t.units)
+	least, most := math.Inf(1), float64(t.promised-now)/2.5/g.stretch(t.units)
 	if g.firsts >= early/2 {
 		most = min(most, 2.5*g.quick)
 	}
