--- a/policy/policy.go
+++ b/policy/policy.go
@@ -536,13 +536,13 @@
 	t.shots[n].level, t.shots[n].early = float64(b.out), g.sent < early
 	g.sent++
 	b.sent = now
-	// Few take five times the usual for their units.
-	patience := max(int64(5*g.all.value*g.stretch(t.units)), t.profile.Promised*4/10)
+	// Few take five times the usual for their units; a jam must show by seven tenths of the promised time.
+	patience := min(max(int64(5*g.all.value*g.stretch(t.units)), t.profile.Promised*4/10), t.profile.Promised*7/10)
 	var expire int64
 	if !g.terms.SecondCopies && !g.terms.Recalls && t.profile.Effect != AtMostOnce &&
 		len(t.shots) < g.terms.MostShots {
 		// Nothing else makes room for another shot; beyond seven tenths too little time is left for one.
-		expire = now + min(patience, t.profile.Promised*7/10)
+		expire = now + patience
 	}
 	g.door.Shoot(t.id, b.id, expire)
 	g.at(now+patience, &t.shots[n].out, func(now int64) { t.look(now, n) })
@@ -554,11 +554,12 @@
 func (t *Transaction) look(now int64, n int) {
 	s, g := t.shots[n], t.gate
 	s.overdue = true
+	usual := g.all.value * g.stretch(t.units)
 	if g.out--; t.over || t.started {
 		return
 	}
 	s.to.measure(g, float64(now-s.sent)/g.stretch(t.units), s.level) // a jam shows here before its answers come
-	if s.to.heard > s.sent {
+	if s.to.heard > s.sent || float64(now-s.sent) < 5*usual {
 		return
 	}
 	s.to.strike(g, now)
@@ -881,7 +882,8 @@
 	age, risen := float64(now-b.started), float64(max(now-b.started-g.terms.FallSpan, 0))
 	rise, rate := (1-g.terms.ColdShare)/float64(g.terms.WarmUp), g.terms.FallMultiple/2/max(work, 1)
 	doors := max(g.terms.Doors, 1)
-	rate = max(rate, g.pace*float64(doors)/float64(max(len(g.ranked), 1)))
+	// What warm ones are seen to answer, of all doors alike; at a low multiple, less.
+	rate = max(rate, g.pace*float64(doors)/float64(max(len(g.ranked), 1))*min(g.terms.FallMultiple/3, 1))
 	number := rate * (g.terms.ColdShare*age + rise*risen*risen/2)
 	// Three quarters of the time between a door's turns: a change in what is measured shifts the numbers.
 	return now-g.born >= g.terms.FallSpan &&
