--- a/policy/policy.go
+++ b/policy/policy.go
@@ -139,7 +139,7 @@
 	if c.plan != p {
 		c.plan, c.name, c.known, c.owed = p, 0, 0, 0
 	}
-	c.close = p.quota >= t.entries && 4*t.entries*float64(t.profile.wait) <= float64(p.window)
+	c.close = 3*p.quota >= t.entries && 2*t.entries*float64(t.profile.wait) <= float64(p.window)
 	c.turn(now)
 	return c
 }
