--- a/policy/policy.go
+++ b/policy/policy.go
@@ -739,7 +739,8 @@
 			b.late = b.pace.blend(usual, 3)
 		}
 		times := max(b.late, 1) / max(usual, 1)
-		b.limit, b.key = min(max(1/times, 0.25), 2), math.Round(2*math.Log2(times))
+		b.key = math.Round(2 * math.Log2(times))
+		b.limit = min(max(math.Exp2(-b.key/2), 0.25), 2) // in steps too, or chance alone would lift one over it
 		if g.terms.CrossZonePrice > 0 && b.zone != g.terms.Zone {
 			b.key += 0.5
 		}
@@ -872,8 +873,8 @@
 }
 
 // coldRoom keeps the doors together within what a cold backend bears: half the multiple, since transactions
-// differ in work, at the pace of one core, so that more only add safety, and with half as much again as the
-// quiet answer time for work, for slower kinds. Its shots are numbered from its start and go to the doors in
+// differ in work, of what a warm one does: at least one core's, with half as much again as the quiet answer
+// time for work, for slower kinds; more as far as warm ones are seen to, by this door and all alike. Its shots are numbered from its start and go to the doors in
 // turn, one each; what a door leaves unused is lost. So the sum holds for any number of doors without a word
 // between them. A door that has itself just started waits a span: its earlier life may have sent much.
 func (t *Transaction) coldRoom(now int64, b *backend) bool {
@@ -886,10 +887,9 @@
 		work = g.quick * 1.5
 	}
 	age, risen := float64(now-b.started), float64(max(now-b.started-g.terms.FallSpan, 0))
-	rise, rate := (1-g.terms.ColdShare)/float64(g.terms.WarmUp), g.terms.FallMultiple/2/max(work, 1)
 	doors := max(g.terms.Doors, 1)
-	// What warm ones are seen to answer, of all doors alike; at a low multiple, less.
-	rate = max(rate, g.pace*float64(doors)/float64(max(len(g.ranked), 1))*min(g.terms.FallMultiple/3, 1))
+	seen := g.pace / float64(sec) * float64(doors) / float64(max(len(g.ranked), 1))
+	rise, rate := (1-g.terms.ColdShare)/float64(g.terms.WarmUp), g.terms.FallMultiple/2*max(1/max(work, 1), seen)
 	number := rate * (g.terms.ColdShare*age + rise*risen*risen/2)
 	// Three quarters of the time between a door's turns: a change in what is measured shifts the numbers.
 	return now-g.born >= g.terms.FallSpan &&
