--- a/cmd/fawnplank/main.go
+++ b/cmd/fawnplank/main.go
@@ -33,9 +33,10 @@
 
   serve    run a front door until SIGTERM
   check    read the configuration, and say what is wrong with it
+  migrate  write the counterpart of the configuration for the new shape of deployment, and list what it lacks
   version  print the version
 
-Flags of serve and check:
+Flags:
 `
 
 func main() {
@@ -49,6 +50,9 @@
 	flags := pflag.NewFlagSet("fawnplank", pflag.ContinueOnError)
 	path := flags.StringP("config", "c", "", "configuration file (default: the one that GW_CONFIG names)")
 	level := flags.String("log-level", "info", "least level of what is logged: error, warning, info or debug")
+	shape := flags.String("shape", "", "migrate: file with the settings of the new deployment, laid over the old ones")
+	to := flags.StringP("output", "o", "", "migrate: file to write, which must not be there yet")
+	dry := flags.Bool("dry-run", false, "migrate: say what would be lacking, and write nothing")
 	flags.Usage = func() { fmt.Fprint(os.Stderr, usage+flags.FlagUsages()) }
 	if err := flags.Parse(words); errors.Is(err, pflag.ErrHelp) {
 		return nil
@@ -76,6 +80,8 @@
 		fmt.Printf("%s: in order; %d profiles, %d plans, front door %d of %d\n", start.Name,
 			len(start.Profiles), len(start.Plans), start.Terms.Me, start.Terms.Doors)
 		return nil
+	case "migrate":
+		return migrate(*path, *shape, *to, *dry)
 	case "serve":
 		return serve(*path)
 	}
@@ -83,6 +89,26 @@
 	return fmt.Errorf("unknown command %q", flags.Arg(0))
 }
 
+// migrate writes the counterpart of a configuration for the new shape, and lists what could not be carried over.
+func migrate(path, shape, to string, dry bool) error {
+	if path == "" || to == "" && !dry {
+		return errors.New("migrate: needs --config for the old file, and --output for the new one or --dry-run")
+	}
+	lines, err := config.Migrate(path, shape, to, dry)
+	if err != nil {
+		return err
+	}
+	for _, l := range lines {
+		fmt.Println("not carried over:", l)
+	}
+	if dry {
+		fmt.Printf("%s: %d not carried over; nothing written\n", path, len(lines))
+	} else {
+		fmt.Printf("%s: written; %d not carried over\n", to, len(lines))
+	}
+	return nil
+}
+
 // read reads the configuration and checks it whole.
 func read(path string) (*config.Start, error) {
 	start, err := config.Read(path)
--- a/cmd/fawnplank/main_test.go
+++ b/cmd/fawnplank/main_test.go
@@ -57,6 +57,9 @@
 	}{
 		{"version", "fawnplank", false}, {"check -c " + file, "n0: in order", false}, {"--help", "serve", false},
 		{"check -c " + bad, "settings.me", true}, {"serve -c " + bad, "settings.me", true},
+		{"migrate -c " + file + " --dry-run", "1 not carried over; nothing written", false},
+		{"migrate -c " + file + " -o " + file, "is there already", true}, {"migrate -c " + file, "--dry-run", true},
+		{"migrate -c " + bad + " --dry-run", bad + ": settings: settings.me", true},
 		{"check -c " + known, "known", true}, {"serve -c " + known, "known", true}, {"check", "GW_CONFIG", true},
 		{"", "one command", true}, {"dance", "unknown command", true}, {"serve --log-level loud", "log-level", true},
 	} {
@@ -260,3 +263,101 @@
 		t.Errorf("grew from %d to %d kB", before, after)
 	}
 }
+
+// A file of the old shape is brought over to the new one, and a front door runs on it: without probes, with a cap
+// on shots out, and with dismissals that do not say when to come back.
+func TestMigratedFileServes(t *testing.T) {
+	backend, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer backend.Close()
+	shots, more := make(chan net.Conn, 10), make(chan bool, 10)
+	go func() {
+		for {
+			c, err := backend.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				for r := redcon.NewReader(c); ; {
+					if _, err := r.ReadCommand(); err != nil {
+						return
+					}
+					shots <- c
+					more <- true
+				}
+			}()
+		}
+	}()
+	lists := 0
+	discovery := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if lists++; lists > 1 {
+			<-r.Context().Done()
+		}
+		fmt.Fprintf(w, `{"index":9,"snapshot":true,"endpoints":[{"name":"s-9","address":%q,"zone":"a","type":"m2",
+			"group":1,"status":"up","weight":0.7,"since_ms":0}]}`, backend.Addr())
+	}))
+	defer discovery.CloseClientConnections()
+	free, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := free.Addr().String()
+	free.Close()
+	dir := t.TempDir()
+	old, shape, fresh := filepath.Join(dir, "old.json"), filepath.Join(dir, "shape.json"), filepath.Join(dir, "new.json")
+	text := fmt.Sprintf(configuration, address, strings.TrimPrefix(discovery.URL, "http://"), "127.0.0.1:3")
+	text = strings.Replace(text, `"send-cap":3`, `"send-cap":3,"probes":true,"retry-after":true,"max-retry-after-ms":900`, 1)
+	os.WriteFile(old, []byte(text), 0o600)
+	os.WriteFile(shape, []byte(`{"permissions":{"retry-after":false},"weights":"rough",
+		"tariffs":[{"name":"team","quota-rate":0,"peak-units":0,"parallel":1}]}`), 0o600)
+	out, err := program("migrate", "-c", old, "--shape", shape, "-o", fresh).CombinedOutput()
+	if err != nil || !strings.Contains(string(out), "settings.permissions.retry-after") ||
+		!strings.Contains(string(out), "known: 1 backends") {
+		t.Fatalf("%v, %s", err, out)
+	}
+	c := program("serve", "-c", fresh)
+	log, _ := c.StderrPipe()
+	if err := c.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer c.Process.Kill()
+	lines := bufio.NewScanner(log)
+	for lines.Scan() && !strings.Contains(lines.Text(), "listens") {
+	}
+	go io.Copy(io.Discard, log)
+	ask := func(id int) *bufio.Reader {
+		conn, err := net.Dial("tcp", address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		conn.SetDeadline(time.Now().Add(5 * time.Second))
+		fmt.Fprintf(conn, "*4\r\n$9\r\nSVC.QUERY\r\n$16\r\n0000000000000005\r\n$2\r\n%02d\r\n"+
+			"$22\r\nc=lookup,t=team,d=1400\r\n", id)
+		return bufio.NewReader(conn)
+	}
+	var first *bufio.Reader
+	var shot net.Conn
+	for id := 1; shot == nil; id++ { // until the list has come
+		if id > 50 {
+			t.Fatal("nothing sent to the backend that discovery lists")
+		}
+		first = ask(id)
+		select {
+		case shot = <-shots:
+		case <-time.After(50 * time.Millisecond):
+		}
+	}
+	if got, err := ask(99).ReadString('\n'); got != "-BUSY\r\n" {
+		t.Errorf("beyond the cap: %q, %v", got, err)
+	}
+	io.WriteString(shot, "*3\r\n$2\r\nok\r\n$-1\r\n$-1\r\n")
+	if got, err := first.ReadString('\n'); got != "$2\r\n" {
+		t.Errorf("%q, %v", got, err)
+	}
+	time.Sleep(100 * time.Millisecond)
+	if len(more) != 1 {
+		t.Errorf("%d commands reached the backend", len(more))
+	}
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -70,8 +70,7 @@
 	if err := json.Unmarshal(text, &top.m); err != nil {
 		return nil, fmt.Errorf("no JSON object: %w", err)
 	}
-	for key, name := range map[string]string{"name": "GW_NAME", "listen": "GW_LISTEN",
-		"discovery": "GW_DISCOVERY"} {
+	for key, name := range environment {
 		if _, there := top.m[key]; !there && env(name) != "" {
 			top.m[key] = env(name)
 		}
--- a/internal/config/terms.go
+++ b/internal/config/terms.go
@@ -109,9 +109,22 @@
 			p.Reach = word(l, "group", map[string]policy.Reach{"all": policy.ReachAll, "zone": policy.ReachZone,
 				"cell": policy.ReachGroup})
 		}
+		if _, there := l.m["silence"]; there { // left out, the door keeps its share
+			p.Silence = word(l, "silence", map[string]policy.Silence{"share": policy.KeepShare,
+				"open": policy.LetAll, "closed": policy.DismissAll})
+		}
 		terms.Profiles = append(terms.Profiles, p)
 	}
 	for _, p := range top.rows("tariffs") {
+		for _, key := range []string{"quota-rate", "peak-units", "parallel", "cap-rate", "ceiling-burst",
+			"beyond-earns", "beyond-costs"} {
+			if p.num(key) < 0 {
+				p.fault(key, "is below 0")
+			}
+		}
+		if n := p.num("parallel"); n != math.Trunc(n) {
+			p.fault("parallel", "is no whole number")
+		}
 		terms.Plans = append(terms.Plans, policy.PlanTerms{Rate: p.need("quota-rate"), Burst: p.need("peak-units"),
 			Parallel: count(p.num("parallel")), CeilingRate: p.num("cap-rate"), CeilingBurst: p.num("ceiling-burst"),
 			BeyondEarns: p.num("beyond-earns"), BeyondCosts: p.num("beyond-costs")})
