--- a/policy/policy.go
+++ b/policy/policy.go
@@ -36,8 +36,9 @@
 			// The counter drops numbers after a minute; the lower bound keeps absurd plans from spinning.
 			row.window = span(min(max(p.Burst/p.Rate, 0.01), 50))
 			row.quota = p.Rate * float64(row.window) / float64(sec)
-			if p.Parallel > 0 { // far above any units of a window, and still told exactly beside them
-				row.mark = math.Exp2(math.Ceil(math.Log2(64 * max(row.quota, 1))))
+			// Far above any units of a window, and still told exactly beside them; the counter takes 1e9 at most.
+			if mark := math.Exp2(math.Ceil(math.Log2(64 * max(row.quota, 1)))); mark*float64(p.Parallel) <= 1e8 {
+				row.mark = mark * min(float64(p.Parallel), 1)
 			}
 		}
 		g.plans = append(g.plans, row)
