--- a/cmd/drill/host.go
+++ b/cmd/drill/host.go
@@ -248,7 +248,7 @@
 	for n := range list {
 		l := &list[n]
 		l.Backend, l.Zone = policy.BackendID(f.U32()), policy.ZoneID(f.U16())
-		l.Kind = policy.KindID(f.U8())
+		f.U8() // the kind of machine: answer times tell
 		l.Group = policy.GroupID(f.U16())
 		state := f.U8()
 		l.Size = f.F32()
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -24,7 +24,7 @@
 	Terms                            policy.Terms
 	Profiles                         map[string]policy.ProfileID
 	Plans                            map[string]policy.PlanID
-	Zones, Kinds                     []string
+	Zones                            []string
 	IdleConnection                   int64 // after which a backend closes a connection
 	ConnectTimeout                   int64
 	MostUnits                        float64 // that one transaction counts
@@ -81,7 +81,7 @@
 		MemoryBytes: int64(count(limits.or("memory_mb", defaultMemoryMB))) << 20,
 		Sockets:     count(limits.or("sockets", defaultSockets)),
 		Profiles:    map[string]policy.ProfileID{}, Plans: map[string]policy.PlanID{},
-		Zones: settings.texts("zones"), Kinds: settings.texts("shapes")}
+		Zones: settings.texts("zones")}
 	if seed, err := strconv.ParseUint(get[string](top, "seed", true), 16, 64); err == nil {
 		s.Seed = seed
 	} else {
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -54,7 +54,6 @@
 	onRequest bool
 	http      http.Client // of its own: the usual one asks the environment for proxies
 	zones     words[policy.ZoneID]
-	kinds     words[policy.KindID]
 	ids       map[string]policy.BackendID
 	names     map[policy.BackendID]string
 	listed    map[policy.BackendID]bool
@@ -84,15 +83,12 @@
 	c := &Client{told: told, addresses: addresses, base: baseOf(s.Discovery),
 		onRequest: s.Terms.ListOnRequest, wanted: make(chan struct{}, 1),
 		http:  http.Client{Transport: &http.Transport{IdleConnTimeout: time.Minute, DisableCompression: true}},
-		zones: words[policy.ZoneID]{}, kinds: words[policy.KindID]{},
-		ids: map[string]policy.BackendID{}, names: map[policy.BackendID]string{},
+		zones: words[policy.ZoneID]{},
+		ids:   map[string]policy.BackendID{}, names: map[policy.BackendID]string{},
 		listed: map[policy.BackendID]bool{}}
 	for _, z := range s.Zones {
 		c.zones.id(z)
 	}
-	for _, k := range s.Kinds {
-		c.kinds.id(k)
-	}
 	return c
 }
 
@@ -104,7 +100,6 @@
 		Name    string  `json:"name"`
 		Address string  `json:"address"`
 		Zone    string  `json:"zone"`
-		Type    string  `json:"type"`
 		Group   uint16  `json:"group"`
 		Status  string  `json:"status"`
 		Weight  float64 `json:"weight"`
@@ -157,7 +152,7 @@
 		if !ok {
 			logrus.Warnf("backend %s has unknown status %q: taken for draining", e.Name, e.Status)
 		}
-		lines[n] = policy.Listed{Backend: c.id(e.Name), Zone: c.zones.id(e.Zone), Kind: c.kinds.id(e.Type),
+		lines[n] = policy.Listed{Backend: c.id(e.Name), Zone: c.zones.id(e.Zone),
 			Group: policy.GroupID(e.Group), Size: e.Weight, Stage: stage,
 			Started: int64(math.Round(e.SinceMs*1e3)) * 1e3}
 		if stage == policy.Gone {
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -60,8 +60,7 @@
 	}))
 	t.Cleanup(s.CloseClientConnections)
 	e := &ear{make(chan told, 100), map[policy.BackendID]string{}}
-	start := &config.Start{Discovery: strings.TrimPrefix(s.URL, "http://"), Zones: []string{"b", "a"},
-		Kinds: []string{"m2"}}
+	start := &config.Start{Discovery: strings.TrimPrefix(s.URL, "http://"), Zones: []string{"b", "a"}}
 	start.Terms.ListOnRequest = onRequest
 	return New(e, e, start), e, calls
 }
@@ -83,7 +82,7 @@
 	c.Follow() // while it follows already: no more than one watch
 	whole := e.next(t)
 	x := whole.list[0]
-	if whole.how != policy.Whole || len(whole.known) != 2 || x.Zone != 1 || x.Kind != 0 || x.Group != 3 ||
+	if whole.how != policy.Whole || len(whole.known) != 2 || x.Zone != 1 || x.Group != 3 ||
 		x.Stage != policy.Ready || x.Size != 1.5 || x.Started != 1700000000123e6 ||
 		x.Backend == whole.list[1].Backend {
 		t.Errorf("%+v", whole)
--- a/policy/api.go
+++ b/policy/api.go
@@ -12,7 +12,6 @@
 	PlanID        uint32 // index into Terms.Plans
 	ZoneID        uint16
 	GroupID       uint16
-	KindID        uint8 // of machine
 	ShotID        uint8 // a transaction's shots are numbered from 0 in the order they were sent
 )
 
@@ -81,7 +80,6 @@
 	Backend BackendID
 	Zone    ZoneID
 	Group   GroupID
-	Kind    KindID
 	Size    float64 // what it is said to take, against the others
 	Stage   Stage
 	Started int64 // 0: long ago
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -23,7 +23,7 @@
 // New starts the decisions of a front door.
 func New(now int64, seed uint64, terms Terms, door Door) *Gate {
 	g := &Gate{door: door, terms: terms, chance: pcg.New(seed), born: now, backends: map[BackendID]*backend{},
-		calls: map[CountID][]*call{}, kinds: map[KindID]*mean{}, customers: map[CustomerID]*customer{},
+		calls: map[CountID][]*call{}, customers: map[CustomerID]*customer{},
 		askAgain: 500 * ms, part: 1}
 	for _, p := range terms.Profiles {
 		// The post's 45 of 300 ms is dear where calls wait in line. Four fifths: below the counter's own limit.
@@ -65,10 +65,7 @@
 	fade := 0.98           // what is known of a single backend fades in five seconds
 	if now-g.heard > sec { // a door that took a jam for granted would send nothing more and learn nothing
 		fade *= 0.97
-		g.all.value *= 0.97         // forgotten in three seconds
-		for _, k := range g.kinds { // each by itself: the order does not matter
-			k.value *= 0.97
-		}
+		g.all.value *= 0.97 // forgotten in three seconds
 	}
 	for _, b := range g.listed {
 		b.pace.count *= fade
@@ -692,10 +689,6 @@
 		b.zone, b.group, b.started, b.ready = l.Zone, l.Group, l.Started, l.Stage == Ready
 		b.gone = l.Stage == Gone
 		b.size = cmp.Or(max(l.Size, 0), 1) // unlisted sizes are alike
-		if g.kinds[l.Kind] == nil {
-			g.kinds[l.Kind] = &mean{}
-		}
-		b.kind = g.kinds[l.Kind]
 	}
 	g.parts()
 	g.rank(now)
@@ -723,10 +716,11 @@
 	}
 }
 
-// rank orders the backends by the answer time against that of their kind, in steps of some 40% (finer is
-// chance); then those of the own zone where crossing has a price; then those not sent to for the longest, by
-// size, so that doors do not crowd the same ones. An answer time counts as far as it was measured: many doors
-// see little of each. Limits follow it. A cold one has its budget alone: work may be what warms it.
+// rank orders the backends by the answer time against the fleet's, in steps of some 40% (finer is chance);
+// then those of the own zone where crossing has a price; then by the doors' parts, the own first, so that
+// doors do not crowd the same ones; then those not sent to for the longest, by size. An answer time counts as
+// far as it was measured: many doors see little of each. Limits follow it. A cold one has its budget alone,
+// and goes first: its turns are few, and work may be what warms it.
 func (g *Gate) rank(now int64) {
 	g.ranked = g.ranked[:0]
 	for _, b := range g.listed {
@@ -735,7 +729,7 @@
 		}
 	}
 	for _, b := range g.ranked {
-		usual := b.kind.blend(g.all.value, 3)
+		usual := g.all.value
 		if b.late = usual; !g.cold(now, b) {
 			b.late = b.pace.blend(usual, 3)
 		}
@@ -746,7 +740,7 @@
 			b.key += 0.5
 		}
 		if g.cold(now, b) {
-			b.key-- // its turns are few: none is to be lost
+			b.key--
 		}
 		b.due = float64(now-b.sent) * b.size
 	}
@@ -831,14 +825,13 @@
 	}
 }
 
-// measure smooths the answer time, over about ten of the backend and thirty of its kind and the fleet.
+// measure smooths the answer time, over about ten of the backend and thirty of the fleet.
 func (b *backend) measure(g *Gate, took, level float64) {
 	b.pace.add(took, 10)
 	b.level += (level - b.level) / b.pace.count
 	if b.late > 0 {
 		took = min(took, 3*b.late) // a few stalls say little of the others
 	}
-	b.kind.add(took, 30)
 	g.all.add(took, 30)
 }
 
@@ -875,7 +868,7 @@
 
 // coldRoom keeps the doors together within what a cold backend bears: half the multiple, since transactions
 // differ in work, of what a warm one does: at least one core's, with half as much again as the quiet answer
-// time for work, for slower kinds; more as far as warm ones are seen to, by this door and all alike. Its shots are numbered from its start and go to the doors in
+// time for work, for slower ones; more as far as warm ones are seen to, by this door and all alike. Its shots are numbered from its start and go to the doors in
 // turn, one each; what a door leaves unused is lost. So the sum holds for any number of doors without a word
 // between them. A door that has itself just started waits a span: its earlier life may have sent much.
 func (t *Transaction) coldRoom(now int64, b *backend) bool {
--- a/policy/state.go
+++ b/policy/state.go
@@ -74,7 +74,6 @@
 	calls         map[CountID][]*call // unanswered, in the order they were made
 	customers     map[CustomerID]*customer
 	all           mean // answer time of the backends together
-	kinds         map[KindID]*mean
 	sizes         sizes
 	heard         int64   // when any last answered
 	full          int64   // when any last turned a shot away
@@ -165,13 +164,10 @@
 	ready    bool
 	gone     bool
 	out      int
-	kind     *mean   // answer time of its kind
 	size     float64 // what it is said to take, against the others
 	pace     mean    // its own answer time
 	level    float64 // shots out while that was measured
-	best     float64 // answer time in its good moments
 	late     float64 // answer time as reckoned; 0: unknown
-	most     float64 // answer time beyond which it gets nothing
 	limit    float64 // shots out up to which it is filled in its turn
 	heard    int64   // when it last answered
 	sent     int64   // when it was last sent to
