--- a/policy/policy.go
+++ b/policy/policy.go
@@ -29,6 +29,7 @@
 		// The post's 45 of 300 ms is dear where calls wait in line. Four fifths: below the counter's own limit.
 		wait := max(min(p.Promised/20, terms.CounterTimeout*4/5), ms)
 		g.profiles = append(g.profiles, profile{p, wait})
+		g.least = min(cmp.Or(g.least, math.Inf(1)), float64(p.Promised)/5)
 	}
 	for _, p := range terms.Plans {
 		row := plan{PlanTerms: p}
@@ -62,10 +63,13 @@
 		}
 		g.quick += rise*(g.all.value-g.quick) + 0.1*min(g.all.value-g.quick, 0)
 	}
-	fade := 0.98           // what is known of a single backend fades in five seconds
-	if now-g.heard > sec { // a door that took a jam for granted would send nothing more and learn nothing
+	fade := 0.98 // what is known of a single backend fades in five seconds
+	// A door that took a jam for granted would send nothing more and learn nothing. While shots are out it does
+	// learn: silence is the jam then. What is forgotten ends at the quiet time (met jammed, at a fifth of the
+	// promised time, for which there is room): else all would look quick at last, and late answers stalled.
+	if now-g.heard > sec && g.flying == 0 {
 		fade *= 0.97
-		g.all.value *= 0.97 // forgotten in three seconds
+		g.all.value = max(g.all.value*0.97, min(g.all.value, g.quick, g.least)) // forgotten in three seconds
 	}
 	for _, b := range g.listed {
 		b.pace.count *= fade
@@ -536,6 +540,7 @@
 	t.customer.out++
 	b.out++
 	g.out++
+	g.flying++
 	t.shots[n].level, t.shots[n].early = float64(b.out), g.sent < early
 	g.sent++
 	b.sent = now
@@ -798,6 +803,7 @@
 // settled learns from how a shot ended.
 func (b *backend) settled(g *Gate, now int64, s *shot, o Outcome, elapsed int64, units float64) {
 	b.out--
+	g.flying--
 	if !s.overdue {
 		g.out--
 	}
--- a/policy/state.go
+++ b/policy/state.go
@@ -77,8 +77,9 @@
 	sizes         sizes
 	heard         int64   // when any last answered
 	full          int64   // when any last turned a shot away
+	least         float64 // answer time that is taken for granted at least
 	quick         float64 // the usual answer time of quiet moments; 0: unknown
-	out           int     // shots out
+	out, flying   int     // shots out that are not overdue; all of them
 	answers, pace float64 // since the last tick; a second
 	sent          int     // shots in this door's life
 	firsts        float64 // of the first ones, answered
