Shots whose clients left count as having taken at least that long

Its trace: from 0:12 on most shots end at 0.53 s, when their clients leave (a plan whose clients repeat at once), and none of them was measured, since look stops at a transaction that is over.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -828,6 +828,10 @@
 		}
 	case Unreached:
 		b.strike(g, now)
+	case Recalled: // clients who leave early would hide a jam: what had taken long by then would have taken longer
+		if took := float64(elapsed) / g.stretch(units); took > b.late && !s.overdue {
+			b.measure(g, took, s.level)
+		}
 	}
 }
 
