--- a/policy/policy.go
+++ b/policy/policy.go
@@ -83,7 +83,7 @@
 // entries front doors in a row from first on.
 func (g *Gate) Take(now int64, id TransactionID, pr ProfileID, pl PlanID, c CustomerID, left int64,
 	units float64, entries, first int) *Transaction {
-	t := &Transaction{gate: g, id: id, units: max(units, 0), entries: float64(max(entries, 1))}
+	t := &Transaction{gate: g, id: id, taken: now, units: max(units, 0), entries: float64(max(entries, 1))}
 	if int(pr) >= len(g.profiles) || int(pl) >= len(g.plans) {
 		g.door.Note(fmt.Sprintf("transaction of unknown profile %d or plan %d broken off", pr, pl))
 		t.over = true
@@ -94,6 +94,9 @@
 	t.customer = g.customer(now, c, t)
 	t.limit = now + max(left, 0)
 	t.promised = min(now+t.profile.Promised, t.limit)
+	if t.plan.leaves.value > 0.3 { // what can't be answered before the client leaves is not worth sending
+		t.promised = min(t.promised, now+int64(t.plan.stay.value))
+	}
 	doors := max(g.terms.Doors, 1)
 	t.place = ((g.terms.Me-first)%doors + doors) % doors
 	if t.plan.CeilingRate > 0 {
@@ -607,6 +610,7 @@
 	switch {
 	case t.over:
 	case over || o == Fulfilled:
+		t.plan.leaves.add(0, 20)
 		t.finish()
 	case t.out > 0:
 	case o == Moot || t.started || now >= t.lastCall():
@@ -622,6 +626,10 @@
 // Left tells that the client is gone: no answer is owed any more.
 func (t *Transaction) Left(now int64) {
 	if !t.over {
+		if now < t.limit-10*ms {
+			t.plan.leaves.add(1, 20)
+			t.plan.stay.add(float64(now-t.taken), 20)
+		}
 		t.finish()
 	}
 }
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -802,3 +802,60 @@
 		t.Errorf("shots at a cold backend by the gap between transactions: %v", sent)
 	}
 }
+
+// Failure: a door that heard nothing for ten seconds of jam took 12 ms for the fleet's answer time: all looked
+// quick, and what was only late was called off and sent again.
+func TestForgettingEndsAtTheQuietTime(t *testing.T) {
+	d := quiet(t, ready(1, 2)...)
+	for n := range 20 {
+		x := d.take(TransactionID(n), 0, 0, CustomerID(n), 2*sec, 1)
+		d.pass(100 * ms)
+		d.settle(x, 0, Fulfilled)
+	}
+	x := d.take(100, 0, 0, 100, 2*sec, 1)
+	d.pass(1800 * ms)
+	if x.ended != "" || d.g.all.value < float64(100*ms) {
+		t.Errorf("%q; with a shot out, silence took the answer time to %.0f ms", x.ended, d.g.all.value/1e6)
+	}
+	d.pass(20 * sec)
+	if d.g.all.value < float64(90*ms) {
+		t.Errorf("long after, the answer time is taken for %.0f ms", d.g.all.value/1e6)
+	}
+}
+
+// Failure: clients who left before a jam's answers hid it, and what they would not wait for was sent on and on.
+func TestClientsWhoLeaveEarly(t *testing.T) {
+	d := quiet(t, ready(1, 2, 3)...)
+	for n := range 20 {
+		x := d.take(TransactionID(n), 0, 0, CustomerID(n), 2*sec, 1)
+		d.pass(100 * ms)
+		d.settle(x, 0, Fulfilled)
+	}
+	before := d.g.all.value
+	leave := func(id TransactionID) bool {
+		x := d.take(id, 0, 0, CustomerID(id), 2*sec, 1)
+		d.pass(240 * ms)
+		if len(x.shots) == 0 {
+			return false
+		}
+		x.ended = "left"
+		x.h.Left(d.now)
+		d.settle(x, 0, Recalled)
+		return true
+	}
+	sent := 0
+	for n := range 40 {
+		if leave(TransactionID(100 + n)) {
+			sent++
+		}
+	}
+	if d.g.all.value < 1.1*before {
+		t.Errorf("answer time %.0f ms after shots that took 240 and more", d.g.all.value/1e6)
+	}
+	if sent > 30 { // a client who stays for 240 ms is not worth a shot where answers take longer
+		t.Errorf("%d of 40 sent to backends that do not answer before their clients leave", sent)
+	}
+	if d.g.plans[0].leaves.value < 0.3 || int64(d.g.plans[0].stay.value) > 250*ms {
+		t.Errorf("%.2f leave, after %.0f ms", d.g.plans[0].leaves.value, d.g.plans[0].stay.value/1e6)
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -29,6 +29,8 @@
 	quota   float64 // units a window
 	mark    float64 // what a shot out counts beside the units, under a cap on shots out; 0: there is none
 	granted mean
+	leaves  mean // part of the clients that leave before their time, and after how long
+	stay    mean
 }
 
 // mean is a mean of what was measured lately, and of how many.
@@ -149,6 +151,7 @@
 	units, entries        float64
 	drawn                 float64 // from the ceiling
 	place                 int     // this door's place among the customer's entry points
+	taken                 int64
 	promised, limit       int64
 	asking                bool // the counter
 	inside, over, started bool
