--- a/policy/policy.go
+++ b/policy/policy.go
@@ -196,8 +196,8 @@
 }
 
 // refilled is what the rate has given since the window's start. Where a customer's doors outnumber a window's
-// units, or take over a quarter of it to right a count in turn, none knows in time what is to be carried, and
-// the plain count of the design holds: all tries, afresh in each window.
+// units by more than three times (few of them carry most), or take over half of it to right a count in turn, none
+// knows in time what is to be carried, and the plain count of the design holds: all tries, afresh each window.
 func (c *customer) refilled(now, start int64) float64 {
 	if !c.close {
 		return 0
