--- a/policy/desk_test.go
+++ b/policy/desk_test.go
@@ -119,7 +119,7 @@
 		rate := max(5, float64(d.peak*d.terms.Doors)/float64(ready))
 		can := d.terms.FallMultiple * part * float64(d.terms.FallSpan) / float64(sec) * rate
 		if float64(n*d.terms.Doors) > can {
-			d.t.Errorf("rule 4: %d shots of %d doors at cold %d, which bears %.1f (rate %.1f, pace %.1f, quick %.0f ms, %d ready, started %d ms ago, sends %v)", n, d.terms.Doors, b, can, rate, d.g.pace, d.g.quick/1e6, ready, (d.now-to.Started)/1e6, d.sends[b])
+			d.t.Errorf("rule 4: %d shots of %d doors at cold %d, which bears %.1f", n, d.terms.Doors, b, can)
 		}
 	}
 	x.shots = append(x.shots, outShot{to: to, sent: d.now, expire: expire, out: true, harmed: true})
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -196,8 +196,8 @@
 }
 
 // refilled is what the rate has given since the window's start. Where a customer's doors outnumber a window's
-// units by more than three times (few of them carry most), or take over half of it to right a count in turn, none
-// knows in time what is to be carried, and the plain count of the design holds: all tries, afresh each window.
+// units by more than three times (few of them carry most), or take over half of it to right a count in turn,
+// none knows in time what is to be carried, and the plain count of the design holds: all tries, afresh.
 func (c *customer) refilled(now, start int64) float64 {
 	if !c.close {
 		return 0
@@ -548,7 +548,8 @@
 	g.sent++
 	b.sent = now
 	// Few take five times the usual for their units; a jam must show by seven tenths of the promised time.
-	patience := min(max(int64(5*g.all.value*g.stretch(t.units)), t.profile.Promised*4/10), t.profile.Promised*7/10)
+	patience := max(int64(5*g.all.value*g.stretch(t.units)), t.profile.Promised*4/10)
+	patience = min(patience, t.profile.Promised*7/10)
 	var expire int64
 	if !g.terms.SecondCopies && !g.terms.Recalls && t.profile.Effect != AtMostOnce &&
 		len(t.shots) < g.terms.MostShots {
@@ -769,11 +770,11 @@
 // load is how full one more shot would make the backend, as a share of its limit.
 func (b *backend) load() float64 { return float64(b.out+1) / b.limit }
 
-// pick (haste: part of the bound on the likely answer) gives the first backend in the order that is below its limit, with none the least loaded, tried ones
-// last; of those only that likely answer within a third of the promised time left (few take three times the
-// likely) and 2.5 quiet times: backends held full do less. A door has no more out than two, its part
-// of one for each backend, and what its pace of answers ends in that time and a third: so many doors stop of
-// themselves before late answers come. Hurts where a door's traffic rises many times within a second.
+// pick gives the first backend in the order that is below its limit, with none the least loaded, tried ones
+// last; of those only that likely answer within two fifths of the promised time left (few take 2.5 times the
+// likely) and 2.5 quiet times: backends held full do less; haste shortens both. A door has no more out than
+// two, its part of one for each backend, and what its pace of answers ends in that time and a third: so many
+// doors stop of themselves before late answers come. Hurts where traffic rises many times within a second.
 func (g *Gate) pick(now int64, t *Transaction, haste float64) *backend {
 	var best *backend
 	least, most := math.Inf(1), float64(t.promised-now)/2.5/g.stretch(t.units)
@@ -836,7 +837,7 @@
 		}
 	case Unreached:
 		b.strike(g, now)
-	case Recalled: // clients who leave early would hide a jam: what had taken long by then would have taken longer
+	case Recalled: // clients who leave early would hide a jam: what took long by then would have taken longer
 		if took := float64(elapsed) / g.stretch(units); took > b.late && !s.overdue {
 			b.measure(g, took, s.level)
 		}
@@ -886,9 +887,10 @@
 
 // coldRoom keeps the doors together within what a cold backend bears: half the multiple, since transactions
 // differ in work, of what a warm one does: at least one core's, with half as much again as the quiet answer
-// time for work, for slower ones; more as far as warm ones are seen to, by this door and all alike. Its shots are numbered from its start and go to the doors in
-// turn, one each; what a door leaves unused is lost. So the sum holds for any number of doors without a word
-// between them. A door that has itself just started waits a span: its earlier life may have sent much.
+// time for work, for slower ones; more as far as warm ones are seen to, by this door and all alike. Its shots
+// are numbered from its start and go to the doors in turn, one each; what a door leaves unused is lost. So the
+// sum holds for any number of doors without a word between them. A door that has itself just started waits a
+// span: its earlier life may have sent much.
 func (t *Transaction) coldRoom(now int64, b *backend) bool {
 	g := t.gate
 	if !g.cold(now, b) {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -632,7 +632,7 @@
 	}
 }
 
-// Failure: a cap of two shots out was held by each of many doors for itself, so that it was passed many times over,
+// Failure: a cap of two shots out was held by each of many doors for itself, so that it was passed many times,
 // or by an even part of it, so that one shot out at a door had the next one there dismissed.
 func TestCapOnShotsOutIsHeldTogether(t *testing.T) {
 	terms := plainTerms()
@@ -742,8 +742,8 @@
 	}
 }
 
-// Failure: a door of many hears of a backend once in seconds; shots a little longer than usual were called off
-// there, and the work done twice, while the whole fleet was slow.
+// Failure: a door of many hears of a backend once in seconds; shots a little longer than usual were called
+// off there, and the work done twice, while the whole fleet was slow.
 func TestSlowAnswersAreNoStall(t *testing.T) {
 	d := quiet(t, ready(1, 2)...)
 	for n := range 20 {
@@ -785,7 +785,7 @@
 // Failure: cold backends were kept to the pace of one core while warm ones answered many times that.
 func TestColdBackendsFollowWhatWarmOnesTake(t *testing.T) {
 	sent := map[int64]int{}
-	for _, gap := range []int64{100 * ms, 5 * ms} { // answers take 200 ms in either case: many cores, or few used
+	for _, gap := range []int64{100 * ms, 5 * ms} { // answers take 200 ms in both: many cores, or few used
 		terms := plainTerms()
 		terms.Doors, terms.Counter, terms.FallMultiple = 1, false, 4
 		d := newDesk(t, terms, append(ready(1, 2, 3, 4, 5, 6, 7, 8),
@@ -806,8 +806,8 @@
 	}
 }
 
-// Failure: a door that heard nothing for ten seconds of jam took 12 ms for the fleet's answer time: all looked
-// quick, and what was only late was called off and sent again.
+// Failure: a door that heard nothing for ten seconds of jam took 12 ms for the fleet's answer time: all
+// looked quick, and what was only late was called off and sent again.
 func TestForgettingEndsAtTheQuietTime(t *testing.T) {
 	d := quiet(t, ready(1, 2)...)
 	for n := range 20 {
@@ -826,7 +826,7 @@
 	}
 }
 
-// Failure: clients who left before a jam's answers hid it, and what they would not wait for was sent on and on.
+// Failure: clients who left before a jam's answers hid it, and what they would not wait for was sent on.
 func TestClientsWhoLeaveEarly(t *testing.T) {
 	d := quiet(t, ready(1, 2, 3)...)
 	for n := range 20 {
--- a/policy/state.go
+++ b/policy/state.go
@@ -182,7 +182,7 @@
 	away     float64 // doors' parts between this door's own and the one it lies in
 }
 
-// dropGone forgets the backends that are gone once nothing is out there: others come under new ids without end.
+// dropGone forgets the backends that are gone once nothing is out there: others come under new ids for ever.
 func (g *Gate) dropGone() {
 	g.listed = slices.DeleteFunc(g.listed, func(b *backend) bool {
 		if b.gone && b.out == 0 {
