--- a/policy/policy.go
+++ b/policy/policy.go
@@ -773,8 +773,8 @@
 // pick gives the first backend in the order that is below its limit, with none the least loaded, tried ones
 // last; of those only that likely answer within two fifths of the promised time left (few take 2.5 times the
 // likely) and 2.5 quiet times: backends held full do less; haste shortens both. A door has no more out than
-// two, its part of one for each backend, and what its pace of answers ends in that time and a third: so many
-// doors stop of themselves before late answers come. Hurts where traffic rises many times within a second.
+// one or two, its part of one for each backend, and what its pace of answers ends in that time and a third: so
+// many doors stop of themselves before late answers come. Hurts where traffic rises many times in a second.
 func (g *Gate) pick(now int64, t *Transaction, haste float64) *backend {
 	var best *backend
 	least, most := math.Inf(1), float64(t.promised-now)/2.5/g.stretch(t.units)
@@ -782,7 +782,7 @@
 		most = min(most, 2.5*g.quick)
 	}
 	most *= haste
-	if float64(g.out) >= 2+g.each()+1.3*g.pace*most/float64(sec) {
+	if float64(g.out) >= min(2, 1+g.each())+g.each()+1.3*g.pace*most/float64(sec) {
 		return nil
 	}
 	for _, b := range g.ranked {
@@ -888,7 +888,7 @@
 // coldRoom keeps the doors together within what a cold backend bears: half the multiple, since transactions
 // differ in work, of what a warm one does: at least one core's, with half as much again as the quiet answer
 // time for work, for slower ones; more as far as warm ones are seen to, by this door and all alike. Its shots
-// are numbered from its start and go to the doors in turn, one each; what a door leaves unused is lost. So the
+// are numbered from its start and go to the doors in turn, one each; what one leaves unused is lost. So the
 // sum holds for any number of doors without a word between them. A door that has itself just started waits a
 // span: its earlier life may have sent much.
 func (t *Transaction) coldRoom(now int64, b *backend) bool {
