--- a/policy/policy.go
+++ b/policy/policy.go
@@ -909,7 +909,7 @@
 	age, risen := float64(now-b.started), float64(max(now-b.started-g.terms.FallSpan, 0))
 	doors := max(g.terms.Doors, 1)
 	rise := (1 - g.terms.ColdShare) / float64(g.terms.WarmUp)
-	rate := g.terms.FallMultiple / 2 * max(1/max(work, 1), g.can/float64(sec))
+	rate := max(g.terms.FallMultiple/2/max(work, 1), min(g.terms.FallMultiple/2, 1)*g.can/float64(sec))
 	number := rate * (g.terms.ColdShare*age + rise*risen*risen/2)
 	// Three quarters of the time between a door's turns: a change in what is measured shifts the numbers.
 	return now-g.born >= g.terms.FallSpan &&
