--- a/policy/policy.go
+++ b/policy/policy.go
@@ -147,7 +147,8 @@
 	if c.plan != p {
 		c.plan, c.name, c.known, c.owed = p, 0, 0, 0
 	}
-	c.close = 2*p.quota >= t.entries*max(g.sizes.units, 1) && 2*t.entries*float64(t.profile.wait) <= float64(p.window)
+	c.close = 2*p.quota >= t.entries*max(g.sizes.units, 1) &&
+		2*t.entries*float64(t.profile.wait) <= float64(p.window)
 	c.turn(now)
 	return c
 }
@@ -198,9 +199,9 @@
 	c.start, c.name, c.told = start, CountID(mix(own+uint64(shifted/w))), 0
 }
 
-// refilled is what the rate has given since the window's start. Where a customer's doors are more than twice the
-// transactions of a window (few of them carry most), or take over half of it to right a count in turn, none
-// knows in time what is to be carried, and the plain count of the design holds: all tries, afresh.
+// refilled is what the rate has given since the window's start. Where a customer's doors are more than twice
+// the transactions of a window (few of them carry most), or take over half of it to right a count in turn,
+// none knows in time what is to be carried, and the plain count of the design holds: all tries, afresh.
 func (c *customer) refilled(now, start int64) float64 {
 	if !c.close {
 		return 0
