--- a/policy/policy.go
+++ b/policy/policy.go
@@ -394,8 +394,9 @@
 		return false
 	}
 	// Where backends are pressed, what was counted goes first: what is not may be beyond the quota, and costs
-	// its utility even where nobody answers it. Six tenths: at a half big days lose, above a jam comes.
-	if t.gate.terms.Counter && t.gate.pick(now, t, 0.6) == nil {
+	// its utility even where nobody answers it. Six tenths: at a half big days lose, above a jam comes. Behind
+	// an open breaker nothing is counted: there is nobody to go first.
+	if t.gate.terms.Counter && t.gate.fails < breakAt && t.gate.pick(now, t, 0.6) == nil {
 		return false
 	}
 	chance := t.chance()
