Counts of plans with a cap have names of their own

A door that does not tell shots would read a capped plan's count wrongly while old and new doors run side by side.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -196,7 +196,8 @@
 	}
 	c.owed = 0 // what a long silence left owing has been refilled since, but for what is carried
 	c.missing, c.heard, c.righted, c.lacks = c.known, 0, 0, 0
-	c.start, c.name, c.told = start, CountID(mix(own+uint64(shifted/w))), 0
+	// A count that holds shots too has a name of its own: doors that do not tell them could not read it.
+	c.start, c.name, c.told = start, CountID(mix(own+uint64(shifted/w)+uint64(c.plan.mark))), 0
 }
 
 // refilled is what the rate has given since the window's start. Where a customer's doors are more than twice
