--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -1,7 +1,6 @@
 package policy
 
 import (
-	"math"
 	rand1 "math/rand"
 	"math/rand/v2"
 	"reflect"
