--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -515,7 +515,7 @@
 		return &facade.Fault{Came: facade.Dialling, Err: errors.New("no address known")}
 	}
 	until := time.Now().Add(p.patient)
-	nc, err := net.DialTimeout("tcp", to.address, p.patient)
+	nc, err := net.DialTimeout("tcp4", to.address, p.patient)
 	if err != nil {
 		return &facade.Fault{Came: facade.Dialling, Err: err}
 	}
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -78,11 +78,21 @@
 	return id
 }
 
+// ipv4 dials over IPv4 alone: a name such as localhost may stand for ::1 too, and the fleet's hosts have IPv4 only.
+var ipv4 = tcp4{}
+
+type tcp4 struct{ net.Dialer }
+
+func (d tcp4) DialContext(ctx context.Context, _, address string) (net.Conn, error) {
+	return d.Dialer.DialContext(ctx, "tcp4", address)
+}
+
 // New makes a client.
 func New(told Told, addresses Addresses, s *config.Start) *Client {
 	c := &Client{told: told, addresses: addresses, base: baseOf(s.Discovery),
 		onRequest: s.Terms.ListOnRequest, wanted: make(chan struct{}, 1),
-		http:  http.Client{Transport: &http.Transport{IdleConnTimeout: time.Minute, DisableCompression: true}},
+		http: http.Client{Transport: &http.Transport{IdleConnTimeout: time.Minute, DisableCompression: true,
+			DialContext: ipv4.DialContext}},
 		zones: words[policy.ZoneID]{},
 		ids:   map[string]policy.BackendID{}, names: map[policy.BackendID]string{},
 		listed: map[policy.BackendID]bool{}}
--- a/internal/sock/sock.go
+++ b/internal/sock/sock.go
@@ -51,7 +51,7 @@
 
 // Dial opens a connection.
 func Dial(address string, patient time.Duration) (*Conn, error) {
-	nc, err := net.DialTimeout("tcp", address, patient)
+	nc, err := net.DialTimeout("tcp4", address, patient)
 	if err != nil {
 		return nil, err
 	}
@@ -177,3 +177,18 @@
 	n, err := c.WriteParts(b)
 	return int(n), err
 }
+
+// ReadFrom and WriteTo hide those of net.TCPConn, which io.Copy would call: between TCP connections, or from a
+// file, they splice or send the file, which the fleet's hosts refuse (ENOSYS, EINVAL for splice).
+func (c *Conn) ReadFrom(r io.Reader) (int64, error) { return io.Copy(onlyWriter{c}, r) }
+
+// WriteTo is ReadFrom's counterpart.
+func (c *Conn) WriteTo(w io.Writer) (int64, error) { return io.Copy(w, onlyReader{c}) }
+
+type onlyWriter struct{ w io.Writer }
+
+func (o onlyWriter) Write(b []byte) (int, error) { return o.w.Write(b) }
+
+type onlyReader struct{ r io.Reader }
+
+func (o onlyReader) Read(b []byte) (int, error) { return o.r.Read(b) }
--- a/internal/sock/sock_test.go
+++ b/internal/sock/sock_test.go
@@ -83,3 +83,28 @@
 		t.Errorf("%v", err)
 	}
 }
+
+// io.Copy between two of these goes through their own Read and Write, never through net.TCPConn's ReadFrom or
+// WriteTo, which would splice; all bytes arrive, in order.
+func TestCopyWithoutSplice(t *testing.T) {
+	from, feeder := pair(t)
+	to, drain := pair(t)
+	if _, ok := any(from).(io.WriterTo); !ok {
+		t.Fatal("Conn has no WriteTo of its own")
+	}
+	want := make([]byte, 1<<20)
+	for i := range want {
+		want[i] = byte(i * 7)
+	}
+	from.SetDeadline(time.Now().Add(5 * time.Second))
+	go func() { feeder.Write(want); feeder.Close() }()
+	got := make(chan []byte)
+	go func() { b, _ := io.ReadAll(drain); got <- b }()
+	if n, err := io.Copy(to, from); err != nil || n != int64(len(want)) {
+		t.Fatalf("copied %d of %d: %v", n, len(want), err)
+	}
+	to.CloseWrite()
+	if b := <-got; !bytes.Equal(b, want) {
+		t.Fatalf("%d bytes arrived, not the %d sent", len(b), len(want))
+	}
+}
