--- a/cmd/fawnplank/main.go
+++ b/cmd/fawnplank/main.go
@@ -151,7 +151,7 @@
 		list.Follow()
 	}
 
-	listener, err := net.Listen("tcp", start.Listen)
+	listener, err := net.Listen("tcp4", start.Listen)
 	if err != nil {
 		return fmt.Errorf("configuration: listen: %w", err)
 	}
