Management address with health, quiesce and resume; a listener two processes share

- health: yes once listening and signals handled, no while drained or stopping. quiesce: PING answers -ERR draining; after 1 s connections close between transactions. resume undoes it; both idempotent.
- The clients' listener has SO_REUSEPORT, or is taken from GW_SOCKET_FD / SOCKET_FD.

--- a/cmd/fawnplank/main.go
+++ b/cmd/fawnplank/main.go
@@ -3,20 +3,25 @@
 package main
 
 import (
+	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"os"
 	"os/signal"
 	"reflect"
 	"runtime"
 	"runtime/debug"
+	"sync/atomic"
 	"syscall"
 	"time"
 
 	"github.com/sirupsen/logrus"
 	"github.com/spf13/pflag"
+	"golang.org/x/sys/unix"
 
+	"fawnplank/internal/admin"
 	"fawnplank/internal/backend"
 	"fawnplank/internal/config"
 	"fawnplank/internal/counter"
@@ -151,13 +156,27 @@
 		list.Follow()
 	}
 
-	listener, err := net.Listen("tcp4", start.Listen)
+	listener, err := listen(start)
 	if err != nil {
 		return fmt.Errorf("configuration: listen: %w", err)
 	}
 	server := front.New(f, pool, start, part)
 	served, stopped := make(chan error, 1), make(chan struct{})
 	go func() { served <- server.Serve(listener) }()
+	d := &door{server: server}
+	if start.Mgmt != "" {
+		m, err := admin.New(start.Mgmt, d)
+		if err != nil {
+			return fmt.Errorf("configuration: mgmt: %w", err)
+		}
+		go func() {
+			if err := m.Serve(); err != nil {
+				logrus.Errorf("management address: %v", err)
+			}
+		}()
+		logrus.Infof("%s: management address %s", start.Name, m.Address())
+	}
+	d.ready.Store(true)
 	logrus.Infof("%s: front door %d of %d listens on %s", start.Name, start.Terms.Me, start.Terms.Doors,
 		start.Listen)
 	for stopping := false; ; {
@@ -174,6 +193,7 @@
 				reload(path, start, count, list)
 			} else if !stopping {
 				stopping = true
+				d.ready.Store(false)
 				go func() {
 					stop(server, listener, start.Terms)
 					close(stopped)
@@ -183,6 +203,35 @@
 	}
 }
 
+// listen takes the listener that the process was handed, or opens one that a process started after it may share:
+// during an upgrade both serve the clients' address, and the kernel spreads new connections over the two.
+func listen(start *config.Start) (net.Listener, error) {
+	if start.ListenerFD >= 0 {
+		f := os.NewFile(uintptr(start.ListenerFD), "listener")
+		defer f.Close()
+		return net.FileListener(f)
+	}
+	shared := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+		var err error
+		raw.Control(func(fd uintptr) {
+			err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, unix.SO_REUSEPORT, 1)
+		})
+		return err
+	}}
+	return shared.Listen(context.Background(), "tcp4", start.Listen)
+}
+
+// door is what the management address acts on.
+type door struct {
+	server *front.Server
+	ready  atomic.Bool // listening, and not stopping
+}
+
+func (d *door) Ready() bool       { return d.ready.Load() && !d.server.Draining() }
+func (d *door) Quiesce()          { d.server.Quiesce() }
+func (d *door) Resume()           { d.server.Resume() }
+func (d *door) Stats(w io.Writer) {}
+
 // reload reads the configuration anew and goes on to the addresses that it names. The old one stays where the
 // new one is faulty; all else that has changed there waits for a restart.
 func reload(path string, start *config.Start, count *counter.Client, list *discovery.Client) {
--- a/cmd/fawnplank/main_test.go
+++ b/cmd/fawnplank/main_test.go
@@ -16,6 +16,8 @@
 	"time"
 
 	"github.com/tidwall/redcon"
+
+	"fawnplank/internal/config"
 )
 
 // TestMain lets the test's own binary be the program.
@@ -361,3 +363,35 @@
 		t.Errorf("%d commands reached the backend", len(more))
 	}
 }
+
+// A new process listens on the clients' address while the old one still does; once the old one has closed its
+// listener, the new one takes every connection.
+func TestTwoProcessesShareTheClientsAddress(t *testing.T) {
+	start := &config.Start{Listen: "127.0.0.1:0", ListenerFD: -1}
+	old, err := listen(start)
+	if err != nil {
+		t.Fatal(err)
+	}
+	start.Listen = old.Addr().String()
+	fresh, err := listen(start)
+	if err != nil {
+		t.Fatalf("the second listener: %v", err)
+	}
+	defer fresh.Close()
+	old.Close()
+	go func() {
+		for range 20 {
+			if c, err := net.Dial("tcp", start.Listen); err == nil {
+				c.Close()
+			}
+		}
+	}()
+	fresh.(*net.TCPListener).SetDeadline(time.Now().Add(3 * time.Second))
+	for n := range 20 {
+		c, err := fresh.Accept()
+		if err != nil {
+			t.Fatalf("connection %d: %v", n, err)
+		}
+		c.Close()
+	}
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -17,6 +17,8 @@
 // Start is what a front door is told at its start.
 type Start struct {
 	Name, Listen, Discovery, Counter string
+	Mgmt                             string // the management address; empty: none
+	ListenerFD                       int    // a listener handed down by whoever started the process; -1: none
 	Seed                             uint64
 	MemoryBytes                      int64
 	Sockets                          int
@@ -41,7 +43,8 @@
 )
 
 // Read reads the configuration from the file path, or from the file that GW_CONFIG names where path is
-// empty. GW_NAME, GW_LISTEN and GW_DISCOVERY stand in for keys that the file leaves out.
+// empty. GW_NAME, GW_LISTEN, GW_DISCOVERY and GW_MGMT stand in for keys that the file leaves out; GW_SOCKET_FD
+// or SOCKET_FD names a listener that the process is handed.
 func Read(path string) (*Start, error) {
 	if path == "" {
 		path = os.Getenv("GW_CONFIG")
@@ -57,6 +60,17 @@
 	if err != nil {
 		return nil, fmt.Errorf("configuration %s: %w", path, err)
 	}
+	s.ListenerFD = -1
+	for _, name := range []string{"GW_SOCKET_FD", "SOCKET_FD"} {
+		if text := os.Getenv(name); text != "" {
+			fd, err := strconv.Atoi(text)
+			if err != nil || fd < 0 {
+				return nil, fmt.Errorf("configuration: %s is %q, which is no descriptor", name, text)
+			}
+			s.ListenerFD = fd
+			break
+		}
+	}
 	return s, nil
 }
 
@@ -77,7 +91,7 @@
 	}
 	limits, settings := top.in("limits", false), top.in("settings", true)
 	s := &Start{Name: get[string](top, "name", true), Listen: top.address("listen", true),
-		Discovery: top.address("discovery", true), Known: raw["known"], Terms: readTerms(settings),
+		Discovery: top.address("discovery", true), Mgmt: top.address("mgmt", false), Known: raw["known"], Terms: readTerms(settings),
 		MemoryBytes: int64(count(limits.or("memory_mb", defaultMemoryMB))) << 20,
 		Sockets:     count(limits.or("sockets", defaultSockets)),
 		Profiles:    map[string]policy.ProfileID{}, Plans: map[string]policy.PlanID{},
--- a/internal/config/migrate.go
+++ b/internal/config/migrate.go
@@ -116,7 +116,8 @@
 }
 
 // environment is what may stand in for keys that a file leaves out.
-var environment = map[string]string{"name": "GW_NAME", "listen": "GW_LISTEN", "discovery": "GW_DISCOVERY"}
+var environment = map[string]string{"name": "GW_NAME", "listen": "GW_LISTEN", "discovery": "GW_DISCOVERY",
+	"mgmt": "GW_MGMT"}
 
 // standIns lists the keys that a file leaves to the environment, and gives an environment to check the rest by.
 func standIns(old map[string]any) (absent []string, env func(string) string) {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -64,8 +64,34 @@
 	clients map[*client]struct{}
 	freed   *sync.Cond          // a connection has ended
 	ids     map[string]struct{} // of the open transactions
+	// drained is when the drain began, in Unix ns; 0: there is none. closing: Close was called.
+	drained atomic.Int64
+	closing atomic.Bool
 }
 
+// settle is how long a drained door goes on serving its connections before it closes them as they fall idle: the
+// front asks ten times a second and stops new connections 0.2 s after a no, which it has heard by then. All are
+// closed before 4 s, when the front takes one still open for a lost one.
+const settle = time.Second
+
+// Quiesce drains the door: PING says no, and after settle its connections are closed between transactions.
+func (s *Server) Quiesce() { s.drained.CompareAndSwap(0, time.Now().UnixNano()) }
+
+// Resume ends a drain: PING says yes, and connections that have not been closed yet stay.
+func (s *Server) Resume() {
+	if s.drained.Swap(0) == 0 || s.closing.Load() {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.clients {
+		c.last.Store(false)
+	}
+}
+
+// Draining tells whether the door is drained.
+func (s *Server) Draining() bool { return s.drained.Load() != 0 }
+
 // New makes a server of at most so many connections.
 func New(f *facade.Facade, pool *backend.Pool, start *config.Start, most int) *Server {
 	s := &Server{facade: f, pool: pool, start: start, most: most, slowest: time.Second,
@@ -109,6 +135,9 @@
 		case <-ended:
 			ended, last = nil, true
 		case now := <-ticks.C:
+			if at := s.drained.Load(); at != 0 && now.UnixNano()-at > int64(settle) {
+				s.closeAll()
+			}
 			s.mu.Lock()
 			for c := range s.clients {
 				if since := c.since.Load(); since != 0 && now.Sub(c.born) > time.Duration(since)+patience {
@@ -196,6 +225,11 @@
 // Close ends the connections that have nothing open; the others end after their answers. It may be called
 // again for what has come in meanwhile.
 func (s *Server) Close() {
+	s.closing.Store(true)
+	s.closeAll()
+}
+
+func (s *Server) closeAll() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.clients {
@@ -386,7 +420,11 @@
 			c.fault(err.Error())
 		}
 	case "PING":
-		c.answerNow("+PONG")
+		if c.server.Draining() {
+			c.answerNow("-ERR draining")
+		} else {
+			c.answerNow("+PONG")
+		}
 	case "CLIENT", "SELECT":
 		c.answerNow("+OK")
 	default:
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -637,3 +637,36 @@
 	io.WriteString(c, query("1", strings.Replace(lookup, "lookup", "pay", 1)))
 	h.line(r, "-BUSY( [0-9]+)?")
 }
+
+// A drained door says no to PING at once, serves open connections for a while, then closes them as they fall
+// idle, the one with a transaction after its answer; resume brings yes back.
+func TestDrainClosesConnectionsBetweenTransactions(t *testing.T) {
+	h := open(t, 10, nil)
+	busy, r := h.dial()
+	idle, ir := h.dial()
+	h.server.Quiesce()
+	h.server.Quiesce() // again: the drain goes on from its first call
+	began := time.Now()
+	io.WriteString(idle, words("PING"))
+	h.line(ir, `-ERR draining`)
+	io.WriteString(busy, query("1", lookup))
+	h.next().answer("*3\r\n$2\r\nok\r\n$-1\r\n$-1\r\n")
+	h.expect(r, "$2\r\nok\r\n") // open connections are served on
+	if _, err := ir.ReadByte(); err != io.EOF {
+		t.Errorf("an idle connection of a drained door: %v", err)
+	}
+	if took := time.Since(began); took < settle || took > settle+time.Second {
+		t.Errorf("the idle connection was closed after %v", took)
+	}
+	if _, err := r.ReadByte(); err != io.EOF {
+		t.Errorf("the other connection: %v", err)
+	}
+	h.server.Resume()
+	h.server.Resume() // without a drain: nothing
+	fresh, fr := h.dial()
+	io.WriteString(fresh, words("PING"))
+	h.line(fr, `\+PONG`)
+	time.Sleep(settle + 2*sweep)
+	io.WriteString(fresh, words("PING"))
+	h.line(fr, `\+PONG`)
+}
