Figures at /admin/stats, counted where each event happens

- front: taken and answered (fulfilled success, dismissed overload, broken off or refused for its head error); backend: a shot whose last byte was written; discovery: backends listed and those draining.

--- a/cmd/fawnplank/main.go
+++ b/cmd/fawnplank/main.go
@@ -28,6 +28,7 @@
 	"fawnplank/internal/discovery"
 	"fawnplank/internal/facade"
 	"fawnplank/internal/front"
+	"fawnplank/internal/metrics"
 	"fawnplank/policy"
 )
 
@@ -144,10 +145,11 @@
 	const own = 48
 	part := (start.Sockets - own) / 2
 
-	f := facade.New()
+	f, figures := facade.New(), metrics.New(classes(start))
 	pool := backend.New(part, time.Duration(start.ConnectTimeout), time.Duration(start.IdleConnection), f.Probed)
 	count := counter.New(f, start.Counter, time.Duration(start.ConnectTimeout))
 	list := discovery.New(f, pool, start)
+	pool.Figures, list.Figures = figures, figures
 	f.Run(start.Seed, start.Terms, count, pool, list)
 	if err := list.Known(start.Known); err != nil {
 		return fmt.Errorf("configuration: %w", err)
@@ -161,9 +163,10 @@
 		return fmt.Errorf("configuration: listen: %w", err)
 	}
 	server := front.New(f, pool, start, part)
+	server.Figures = figures
 	served, stopped := make(chan error, 1), make(chan struct{})
 	go func() { served <- server.Serve(listener) }()
-	d := &door{server: server}
+	d := &door{server: server, figures: figures}
 	if start.Mgmt != "" {
 		m, err := admin.New(start.Mgmt, d)
 		if err != nil {
@@ -190,7 +193,7 @@
 			return nil
 		case s := <-told: // one at a time: a further one waits
 			if s == syscall.SIGHUP {
-				reload(path, start, count, list)
+				figures.Reloaded(reload(path, start, count, list))
 			} else if !stopping {
 				stopping = true
 				d.ready.Store(false)
@@ -223,22 +226,27 @@
 
 // door is what the management address acts on.
 type door struct {
-	server *front.Server
-	ready  atomic.Bool // listening, and not stopping
+	server  *front.Server
+	figures *metrics.Figures
+	ready   atomic.Bool // listening, and not stopping
 }
 
-func (d *door) Ready() bool       { return d.ready.Load() && !d.server.Draining() }
-func (d *door) Quiesce()          { d.server.Quiesce() }
-func (d *door) Resume()           { d.server.Resume() }
-func (d *door) Stats(w io.Writer) {}
+func (d *door) Ready() bool { return d.ready.Load() && !d.server.Draining() }
+func (d *door) Quiesce()    { d.server.Quiesce() }
+func (d *door) Resume()     { d.server.Resume() }
+func (d *door) Stats(w io.Writer) {
+	if err := d.figures.Write(w); err != nil {
+		logrus.Warnf("figures: %v", err)
+	}
+}
 
 // reload reads the configuration anew and goes on to the addresses that it names. The old one stays where the
 // new one is faulty; all else that has changed there waits for a restart.
-func reload(path string, start *config.Start, count *counter.Client, list *discovery.Client) {
+func reload(path string, start *config.Start, count *counter.Client, list *discovery.Client) (taken bool) {
 	fresh, err := read(path)
 	if err != nil {
 		logrus.Errorf("not reloaded, the old configuration stays: %v", err)
-		return
+		return false
 	}
 	count.Move(fresh.Counter)
 	list.Move(fresh.Discovery)
@@ -247,6 +255,16 @@
 	if !reflect.DeepEqual(fresh, start) {
 		logrus.Warnf("%s: other changes of the configuration take effect at a restart", start.Name)
 	}
+	return true
+}
+
+// classes are the names of the profiles, by id.
+func classes(start *config.Start) []string {
+	names := make([]string, len(start.Profiles))
+	for name, id := range start.Profiles {
+		names[id] = name
+	}
+	return names
 }
 
 // stop goes on serving while new connections may still come, up to 0.4 s after the signal; then it ends
--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -17,6 +17,7 @@
 	"github.com/sirupsen/logrus"
 
 	"fawnplank/internal/facade"
+	"fawnplank/internal/metrics"
 	"fawnplank/internal/resp"
 	"fawnplank/internal/sock"
 	"fawnplank/policy"
@@ -43,6 +44,7 @@
 	idle    time.Duration // after which a warm one is closed
 	most    int           // connections at once
 	probed  func(b policy.BackendID, err error)
+	Figures *metrics.Figures // counted here: shots written whole
 
 	mu    sync.Mutex // of all that follows, and of every connection's state
 	peers map[policy.BackendID]*peer
@@ -254,6 +256,7 @@
 	}
 	if n == whole {
 		c.came = facade.Written
+		p.Figures.Dispatched(s.Profile())
 	}
 	if err == nil && !c.down {
 		p.mu.Unlock()
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -20,6 +20,7 @@
 	"github.com/sirupsen/logrus"
 
 	"fawnplank/internal/config"
+	"fawnplank/internal/metrics"
 	"fawnplank/policy"
 )
 
@@ -57,6 +58,8 @@
 	ids       map[string]policy.BackendID
 	names     map[policy.BackendID]string
 	listed    map[policy.BackendID]bool
+	draining  map[policy.BackendID]bool // of the listed: sent nothing new
+	Figures   *metrics.Figures          // counted here: backends listed, and draining
 	begin     sync.Once
 	wanted    chan struct{}
 	index     int64
@@ -95,7 +98,7 @@
 			DialContext: ipv4.DialContext}},
 		zones: words[policy.ZoneID]{},
 		ids:   map[string]policy.BackendID{}, names: map[policy.BackendID]string{},
-		listed: map[policy.BackendID]bool{}}
+		listed: map[policy.BackendID]bool{}, draining: map[policy.BackendID]bool{}}
 	for _, z := range s.Zones {
 		c.zones.id(z)
 	}
@@ -180,6 +183,20 @@
 		}
 	}
 	maps.Copy(c.listed, listed)
+	for _, e := range lines {
+		if e.Stage == policy.Gone || !c.listed[e.Backend] {
+			delete(c.draining, e.Backend)
+		} else {
+			c.draining[e.Backend] = e.Stage != policy.Ready
+		}
+	}
+	disabled := 0
+	for b := range c.listed {
+		if c.draining[b] {
+			disabled++
+		}
+	}
+	c.Figures.Listed(len(c.listed), disabled)
 	c.index = l.Index
 	c.told.Backends(how, lines)
 }
@@ -188,6 +205,7 @@
 func (c *Client) forget(b policy.BackendID) {
 	c.addresses.Forget(b)
 	delete(c.listed, b)
+	delete(c.draining, b)
 	delete(c.ids, c.names[b])
 	delete(c.names, b)
 }
--- a/internal/facade/facade.go
+++ b/internal/facade/facade.go
@@ -274,6 +274,9 @@
 	return s.state.CompareAndSwap(waiting, begun)
 }
 
+// Profile is the profile of the shot's transaction.
+func (s *Shot) Profile() policy.ProfileID { return s.t.profile }
+
 // Left is how long the shot's answer will be waited for.
 func (s *Shot) Left() time.Duration { return time.Duration(s.until - s.t.f.now()) }
 
@@ -346,11 +349,12 @@
 
 // Transaction is one that was taken.
 type Transaction struct {
-	f      *Facade
-	id     policy.TransactionID
-	handle *policy.Transaction
-	limit  int64
-	shots  []*Shot
+	f       *Facade
+	id      policy.TransactionID
+	profile policy.ProfileID
+	handle  *policy.Transaction
+	limit   int64
+	shots   []*Shot
 	// steps brings the shots to be sent, and nil once last stands. It has room for mostWaiting shots and that:
 	// nothing blocks under the lock.
 	steps chan *Shot
@@ -361,7 +365,7 @@
 // Take takes a transaction.
 func (f *Facade) Take(pr policy.ProfileID, pl policy.PlanID, c policy.CustomerID, left time.Duration,
 	units float64, entries, first int) *Transaction {
-	t := &Transaction{f: f, steps: make(chan *Shot, mostWaiting+1)}
+	t := &Transaction{f: f, profile: pr, steps: make(chan *Shot, mostWaiting+1)}
 	f.do(func(now int64) {
 		f.last++
 		t.id, t.limit = f.last, now+int64(left)
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -24,6 +24,7 @@
 	"fawnplank/internal/backend"
 	"fawnplank/internal/config"
 	"fawnplank/internal/facade"
+	"fawnplank/internal/metrics"
 	"fawnplank/internal/resp"
 	"fawnplank/internal/sock"
 	"fawnplank/policy"
@@ -64,6 +65,7 @@
 	clients map[*client]struct{}
 	freed   *sync.Cond          // a connection has ended
 	ids     map[string]struct{} // of the open transactions
+	Figures *metrics.Figures    // counted here: transactions taken, open and answered
 	// drained is when the drain began, in Unix ns; 0: there is none. closing: Close was called.
 	drained atomic.Int64
 	closing atomic.Bool
@@ -267,13 +269,14 @@
 
 // command is one command, with its answer once there is one.
 type command struct {
-	client *client
-	t      *facade.Transaction // nil: answered at once
-	id     string
-	raw    []byte
-	list   [2]int // where in raw the list of names and values stands, its length line too
-	wait   [2]int // where the figure of d stands
-	answer []byte
+	client  *client
+	t       *facade.Transaction // nil: answered at once
+	profile policy.ProfileID
+	id      string
+	raw     []byte
+	list    [2]int // where in raw the list of names and values stands, its length line too
+	wait    [2]int // where the figure of d stands
+	answer  []byte
 }
 
 // resting tells since when nothing has been open on the connection, and how much it would be missed. One that is
@@ -416,7 +419,10 @@
 	}
 	switch string(args[0]) {
 	case "SVC.QUERY", "SVC.SUBMIT":
-		if err := c.transaction(raw, args); err != nil {
+		if profile, err := c.transaction(raw, args); err != nil {
+			if profile >= 0 {
+				c.server.Figures.Ended(policy.ProfileID(profile), metrics.Error)
+			}
 			c.fault(err.Error())
 		}
 	case "PING":
@@ -438,21 +444,22 @@
 	c.answerNow("-ERR " + text)
 }
 
-// transaction parses the head of a transaction and takes it.
-func (c *client) transaction(raw []byte, args [][]byte) error {
+// transaction parses the head of a transaction and takes it. The profile is -1 where it could not be read.
+func (c *client) transaction(raw []byte, args [][]byte) (profile int, err error) {
+	profile = -1
 	if len(args) < 4 || len(args) > 5 {
-		return errors.New("wrong number of arguments")
+		return profile, errors.New("wrong number of arguments")
 	}
 	customer, err := strconv.ParseUint(string(args[1]), 16, 64)
 	if err != nil || len(args[1]) != 16 || customer >= 1<<33 {
-		return errors.New("customer is no number of 16 hexadecimal digits below 2^33")
+		return profile, errors.New("customer is no number of 16 hexadecimal digits below 2^33")
 	}
 	strange := func(r rune) bool { return r <= ' ' || r > '~' }
 	if len(args[2]) == 0 || len(args[2]) > 64 || bytes.ContainsFunc(args[2], strange) {
-		return errors.New("id is missing or cannot be read")
+		return profile, errors.New("id is missing or cannot be read")
 	}
 	s := c.server.start
-	profile, plan, doors := -1, -1, max(s.Terms.Doors, 1)
+	class, plan, doors := -1, -1, max(s.Terms.Doors, 1)
 	left, units, entries, first := int64(-1), 1.0, 1, 0
 	var wait []byte
 	for seen, rest, more := "", args[3], true; more; {
@@ -460,13 +467,16 @@
 		pair, rest, more = bytes.Cut(rest, []byte(","))
 		name, value, ok := bytes.Cut(pair, []byte("="))
 		if !ok {
-			return fmt.Errorf("%.40q has no value", pair)
+			return profile, fmt.Errorf("%.40q has no value", pair)
 		}
 		bad := false
 		switch string(name) {
 		case "c":
 			id, ok := s.Profiles[string(value)]
-			profile, bad = int(id), !ok
+			class, bad = int(id), !ok
+			if ok {
+				profile = int(id)
+			}
 		case "t":
 			id, ok := s.Plans[string(value)]
 			plan, bad = int(id), !ok
@@ -486,34 +496,37 @@
 			continue
 		}
 		if bad || strings.Contains(seen, string(name)+",") {
-			return fmt.Errorf("%s has no meaning as %.40q", name, value)
+			return profile, fmt.Errorf("%s has no meaning as %.40q", name, value)
 		}
 		seen += string(name) + ","
 	}
 	switch {
-	case profile < 0:
-		return errors.New("class is missing")
+	case class < 0:
+		return profile, errors.New("class is missing")
 	case plan < 0:
-		return errors.New("plan is missing")
+		return profile, errors.New("plan is missing")
 	case left < 0:
-		return errors.New("d is missing")
+		return profile, errors.New("d is missing")
 	}
+	pr := policy.ProfileID(class)
 	// Held on its own: the buffer goes on to the next command.
 	k := &command{client: c, id: string(args[2]), raw: bytes.Clone(raw)}
 	at := func(part []byte) int { return cap(raw) - cap(part) }
 	k.list[0], k.list[1] = at(args[3]), at(args[3])+len(args[3])
 	k.wait[0], k.wait[1] = at(wait), at(wait)+len(wait)
 	if !c.server.claim(k.id) {
-		return errors.New("id is that of an open transaction")
+		return profile, errors.New("id is that of an open transaction")
 	}
 	if !c.add(k) {
 		c.server.free(k.id)
-		return nil
+		return profile, nil
 	}
-	k.t = c.server.facade.Take(policy.ProfileID(profile), policy.PlanID(plan), policy.CustomerID(customer),
+	k.profile = pr
+	c.server.Figures.Taken()
+	k.t = c.server.facade.Take(pr, policy.PlanID(plan), policy.CustomerID(customer),
 		time.Duration(left), units, entries, first)
 	go k.serve()
-	return nil
+	return profile, nil
 }
 
 // claim notes the id of a transaction that is to be taken; false says that one with it is open.
@@ -546,6 +559,7 @@
 		if x := recover(); x != nil {
 			logrus.Errorf("panic in a transaction: %v\n%s", x, debug.Stack())
 			k.t.Leave()
+			k.client.server.Figures.Ended(k.profile, metrics.Error)
 			k.client.finish(k, []byte("-ERR internal fault\r\n"))
 		}
 	}()
@@ -554,9 +568,11 @@
 		case facade.Send:
 			k.client.server.pool.Send(step.Shot, k.parts(step.Shot.Left()))
 		case facade.Fulfil:
+			k.client.server.Figures.Ended(k.profile, metrics.Success)
 			k.client.finish(k, step.Answer)
 			return
 		case facade.Dismiss:
+			k.client.server.Figures.Ended(k.profile, metrics.Overload)
 			answer := []byte("-BUSY")
 			if step.ComeBack > 0 {
 				answer = strconv.AppendInt(append(answer, ' '), (step.ComeBack+999_999)/1_000_000, 10)
@@ -564,6 +580,7 @@
 			k.client.finish(k, append(answer, "\r\n"...))
 			return
 		case facade.BreakOff:
+			k.client.server.Figures.Ended(k.profile, metrics.Error)
 			k.client.finish(k, []byte("-ERR failed\r\n"))
 			return
 		default: // the client is gone
@@ -595,6 +612,7 @@
 func (c *client) finish(k *command, answer []byte) {
 	if k.t != nil {
 		c.server.free(k.id)
+		c.server.Figures.Over()
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -17,6 +17,7 @@
 	"fawnplank/internal/backend"
 	"fawnplank/internal/config"
 	"fawnplank/internal/facade"
+	"fawnplank/internal/metrics"
 	"fawnplank/internal/resp"
 	"fawnplank/policy"
 )
@@ -670,3 +671,22 @@
 	io.WriteString(fresh, words("PING"))
 	h.line(fr, `\+PONG`)
 }
+
+// Each answer is counted for its class where it is given, and what is open returns to nought.
+func TestFiguresOfAnswers(t *testing.T) {
+	h := open(t, 10, nil)
+	h.server.Figures = metrics.New([]string{"lookup", "pay"})
+	c, r := h.dial()
+	io.WriteString(c, query("1", lookup))
+	h.next().answer("*3\r\n$2\r\nok\r\n$-1\r\n$-1\r\n")
+	h.expect(r, "$2\r\nok\r\n")
+	io.WriteString(c, query("2", "c=pay,t=team,d=-1"))
+	h.line(r, `-ERR .*`)
+	var b strings.Builder
+	h.server.Figures.Write(&b)
+	for _, want := range []string{`gw_success{type="lookup"} 1`, `gw_error{type="pay"} 1`, "gw_concurrent 0"} {
+		if !strings.Contains(b.String(), want+"\n") {
+			t.Errorf("no %q in\n%s", want, b.String())
+		}
+	}
+}
--- /dev/null
+++ b/internal/metrics/metrics.go
@@ -0,0 +1,148 @@
+// Package metrics keeps the figures that the management address shows, in Prometheus' text form. Each is
+// counted where its event happens, from 0 in each process; the package owns nothing but the counts, and must
+// never decide anything.
+package metrics
+
+import (
+	"io"
+	"sync/atomic"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/common/expfmt"
+
+	"fawnplank/policy"
+)
+
+// End is how a transaction was answered.
+type End uint8
+
+const (
+	Success  End = iota // fulfilled
+	Overload            // dismissed
+	Error               // broken off, or refused for its head
+)
+
+// Figures are one process's figures. A nil one counts nothing, for parts that are tried alone.
+type Figures struct {
+	reg                        *prometheus.Registry
+	ends                       [3]*prometheus.CounterVec
+	dispatches                 *prometheus.CounterVec
+	concurrent                 prometheus.Gauge
+	targets, disabled          prometheus.Gauge
+	reloadSuccess, reloadFault prometheus.Counter
+	classes                    atomic.Pointer[[]string] // the names of the profiles, by id
+}
+
+// New makes figures for the classes named, by profile id.
+func New(classes []string) *Figures {
+	counter := func(name, help string) *prometheus.CounterVec {
+		return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "gw", Name: name, Help: help},
+			[]string{"type"})
+	}
+	gauge := func(name, help string) prometheus.Gauge {
+		return prometheus.NewGauge(prometheus.GaugeOpts{Namespace: "gw", Name: name, Help: help})
+	}
+	f := &Figures{reg: prometheus.NewRegistry(),
+		ends: [3]*prometheus.CounterVec{counter("success", "transactions fulfilled"),
+			counter("overload", "transactions dismissed"), counter("error", "transactions broken off or refused")},
+		dispatches: counter("dispatches", "shots written whole to backends"),
+		concurrent: gauge("concurrent", "transactions taken and not answered"),
+		targets:    gauge("targets", "backends in the list"),
+		disabled:   gauge("targets_disabled", "listed backends that are sent nothing new"),
+		reloadSuccess: prometheus.NewCounter(prometheus.CounterOpts{Namespace: "gw", Name: "reload_success",
+			Help: "configurations taken at SIGHUP"}),
+		reloadFault: prometheus.NewCounter(prometheus.CounterOpts{Namespace: "gw", Name: "reload_failure",
+			Help: "configurations turned down at SIGHUP"})}
+	f.reg.MustRegister(f.ends[0], f.ends[1], f.ends[2], f.dispatches, f.concurrent, f.targets, f.disabled,
+		f.reloadSuccess, f.reloadFault)
+	f.Classes(classes)
+	return f
+}
+
+// Classes names the profiles anew, after a reload; what was counted for classes dropped stays readable.
+func (f *Figures) Classes(names []string) {
+	if f == nil {
+		return
+	}
+	names = append([]string(nil), names...)
+	for _, n := range names { // each is shown from 0 on
+		for _, v := range append(f.ends[:], f.dispatches) {
+			v.WithLabelValues(n)
+		}
+	}
+	f.classes.Store(&names)
+}
+
+func (f *Figures) class(p policy.ProfileID) string {
+	if names := *f.classes.Load(); int(p) >= 0 && int(p) < len(names) {
+		return names[p]
+	}
+	return "unknown"
+}
+
+// Taken counts a transaction taken, and Ended its answer, of the class it was taken under.
+func (f *Figures) Taken() {
+	if f != nil {
+		f.concurrent.Inc()
+	}
+}
+
+// Ended counts a transaction's answer; client gone: none.
+func (f *Figures) Ended(p policy.ProfileID, how End) {
+	if f != nil {
+		f.ends[how].WithLabelValues(f.class(p)).Inc()
+	}
+}
+
+// Over counts a transaction that has ended, answered or not.
+func (f *Figures) Over() {
+	if f != nil {
+		f.concurrent.Dec()
+	}
+}
+
+// Refused counts a transaction refused for its head, where its class could be read.
+func (f *Figures) Refused(class string) {
+	if f != nil {
+		f.ends[Error].WithLabelValues(class).Inc()
+	}
+}
+
+// Dispatched counts a shot whose last byte was written.
+func (f *Figures) Dispatched(p policy.ProfileID) {
+	if f != nil {
+		f.dispatches.WithLabelValues(f.class(p)).Inc()
+	}
+}
+
+// Listed tells how many backends the list holds, and how many of them are sent nothing new.
+func (f *Figures) Listed(all, disabled int) {
+	if f != nil {
+		f.targets.Set(float64(all))
+		f.disabled.Set(float64(disabled))
+	}
+}
+
+// Reloaded counts a configuration taken or turned down at SIGHUP.
+func (f *Figures) Reloaded(taken bool) {
+	if f == nil {
+	} else if taken {
+		f.reloadSuccess.Inc()
+	} else {
+		f.reloadFault.Inc()
+	}
+}
+
+// Write writes all figures in Prometheus' text form.
+func (f *Figures) Write(w io.Writer) error {
+	families, err := f.reg.Gather()
+	if err != nil {
+		return err
+	}
+	for _, mf := range families {
+		if _, err := expfmt.MetricFamilyToText(w, mf); err != nil {
+			return err
+		}
+	}
+	return nil
+}
