Live settings at SIGHUP: classes added, dropped and changed take new transactions at once

- config: Start.Follow keeps the id of a class or plan whose terms are unchanged, gives a new or changed one an id after all old ones; old rows stay.
A deadline or send-cap not above 0 is a fault.
- front: the table of names is swapped in one step; main counts the reload and renames the figures.
- Tests: seven kinds of broken file turned down; ids across two reloads; a class added at a reload is taken, a dropped one refused.

--- a/cmd/fawnplank/main.go
+++ b/cmd/fawnplank/main.go
@@ -193,7 +193,13 @@
 			return nil
 		case s := <-told: // one at a time: a further one waits
 			if s == syscall.SIGHUP {
-				figures.Reloaded(reload(path, start, count, list))
+				fresh := reload(path, start, count, list)
+				if figures.Reloaded(fresh != nil); fresh != nil {
+					f.Retune(fresh.Terms)
+					server.Retune(fresh)
+					figures.Classes(classes(fresh))
+					start = fresh
+				}
 			} else if !stopping {
 				stopping = true
 				d.ready.Store(false)
@@ -240,22 +246,27 @@
 	}
 }
 
-// reload reads the configuration anew and goes on to the addresses that it names. The old one stays where the
-// new one is faulty; all else that has changed there waits for a restart.
-func reload(path string, start *config.Start, count *counter.Client, list *discovery.Client) (taken bool) {
+// reload reads the configuration anew and goes on to the addresses that it names, and to its settings: the
+// configuration to go on with, with the ids of profiles and plans that follow start's. Where the new one is
+// faulty nothing changes, and it gives nil; listen, mgmt, limits and seed wait for a restart.
+func reload(path string, start *config.Start, count *counter.Client, list *discovery.Client) *config.Start {
 	fresh, err := read(path)
 	if err != nil {
 		logrus.Errorf("not reloaded, the old configuration stays: %v", err)
-		return false
+		return nil
 	}
+	fresh.Follow(start)
 	count.Move(fresh.Counter)
 	list.Move(fresh.Discovery)
-	logrus.Infof("%s: reloaded: discovery at %s, counter at %s", start.Name, fresh.Discovery, fresh.Counter)
-	fresh.Discovery, fresh.Counter, fresh.Seed, fresh.Known = start.Discovery, start.Counter, start.Seed, start.Known
-	if !reflect.DeepEqual(fresh, start) {
-		logrus.Warnf("%s: other changes of the configuration take effect at a restart", start.Name)
+	logrus.Infof("%s: reloaded: discovery at %s, counter at %s, %d classes", start.Name, fresh.Discovery,
+		fresh.Counter, len(fresh.Profiles))
+	kept := *start // what takes effect at a restart only
+	kept.Discovery, kept.Counter, kept.Known, kept.Terms = fresh.Discovery, fresh.Counter, fresh.Known, fresh.Terms
+	kept.Profiles, kept.Plans, kept.Zones, kept.MostUnits = fresh.Profiles, fresh.Plans, fresh.Zones, fresh.MostUnits
+	if !reflect.DeepEqual(&kept, fresh) {
+		logrus.Warnf("%s: changes of listen, mgmt, limits or seed take effect at a restart", start.Name)
 	}
-	return true
+	return &kept
 }
 
 // classes are the names of the profiles, by id.
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -151,3 +151,29 @@
 	}
 	return at
 }
+
+// Follow renumbers the profiles and plans of a configuration read anew, so that ids mean what they meant in
+// old: a name whose terms are unchanged keeps its id; a new one, or one whose terms changed, gets an id after
+// all of old's. Old rows stay, for what is open under them; names that are gone are no longer taken.
+func (s *Start) Follow(old *Start) {
+	s.Terms.Profiles, s.Profiles = follow(old.Terms.Profiles, old.Profiles, s.Terms.Profiles, s.Profiles)
+	s.Terms.Plans, s.Plans = follow(old.Terms.Plans, old.Plans, s.Terms.Plans, s.Plans)
+}
+
+func follow[T comparable, ID ~uint16 | ~uint32](oldRows []T, oldIDs map[string]ID, rows []T, ids map[string]ID) ([]T,
+	map[string]ID) {
+	names := make([]string, len(rows))
+	for name, id := range ids {
+		names[id] = name
+	}
+	all, now := append([]T(nil), oldRows...), map[string]ID{}
+	for id, name := range names { // in the file's order, so that the same file gives the same ids
+		if was, ok := oldIDs[name]; ok && all[was] == rows[id] {
+			now[name] = was
+		} else {
+			now[name] = ID(len(all))
+			all = append(all, rows[id])
+		}
+	}
+	return all, now
+}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -86,3 +86,54 @@
 		t.Error("a missing file, no fault")
 	}
 }
+
+// Each kind of broken file is turned down whole, with the key named where there is one.
+func TestBrokenFilesAreTurnedDown(t *testing.T) {
+	for name, text := range map[string]string{
+		"empty":            "",
+		"cut short":        good[:len(good)/2],
+		"a key missing":    strings.Replace(good, `"deadline-ms": 2000, `, "", 1),
+		"deadline of 0":    strings.Replace(good, `"deadline-ms": 2000`, `"deadline-ms": 0`, 1),
+		"deadline below 0": strings.Replace(good, `"deadline-ms": 2000`, `"deadline-ms": -5`, 1),
+		"no attempts":      strings.Replace(good, `"send-cap": 3`, `"send-cap": 0`, 1),
+		"attempts a word":  strings.Replace(good, `"send-cap": 3`, `"send-cap": "3"`, 1),
+	} {
+		if s, err := parse([]byte(text), none); err == nil {
+			t.Errorf("%s: taken: %+v", name, s.Terms)
+		}
+	}
+}
+
+// A configuration read anew keeps the ids of what is unchanged; a changed or new class gets an id after all
+// the old ones, whose rows stay for the transactions open under them.
+func TestIdsFollowAReload(t *testing.T) {
+	old, err := parse([]byte(good), none)
+	if err != nil {
+		t.Fatal(err)
+	}
+	lanes := `"lanes": [{"name": "pay", "goal-time-ms": 500, "deadline-ms": 1000, "effect": "non_idempotent"},
+		{"name": "lookup", "goal-time-ms": 750, "deadline-ms": 2000, "effect": "idempotency_key",
+		"group": "cell", "window-ms": 5000}]`
+	text := good[:strings.Index(good, `"lanes"`)] + lanes + good[strings.Index(good, `,
+	"tariffs"`):]
+	fresh, err := parse([]byte(strings.Replace(text, `"quota-rate": 2`, `"quota-rate": 3`, 1)), none)
+	if err != nil {
+		t.Fatal(err)
+	}
+	fresh.Follow(old)
+	if fresh.Profiles["lookup"] != 0 || fresh.Profiles["pay"] != 1 || len(fresh.Terms.Profiles) != 2 ||
+		fresh.Terms.Profiles[1].Effect != policy.AtMostOnce {
+		t.Errorf("profiles %v: %+v", fresh.Profiles, fresh.Terms.Profiles)
+	}
+	if fresh.Plans["team"] != 1 || len(fresh.Terms.Plans) != 2 || fresh.Terms.Plans[0].Rate != 2 ||
+		fresh.Terms.Plans[1].Rate != 3 {
+		t.Errorf("plans %v: %+v", fresh.Plans, fresh.Terms.Plans)
+	}
+	again, _ := parse([]byte(good), none) // back: lookup keeps 0, pay is no longer taken, its row stays
+	again.Follow(fresh)
+	if len(again.Profiles) != 1 || again.Profiles["lookup"] != 0 || len(again.Terms.Profiles) != 2 ||
+		again.Plans["team"] != 2 || len(again.Terms.Plans) != 3 {
+		t.Errorf("back: %v %v, %d and %d rows", again.Profiles, again.Plans, len(again.Terms.Profiles),
+			len(again.Terms.Plans))
+	}
+}
--- a/internal/config/terms.go
+++ b/internal/config/terms.go
@@ -99,6 +99,9 @@
 		FallMultiple: rules.need("tip-multiple"), FallSpan: Nanoseconds(rules.need("fall-ms")),
 		CrossZonePrice: top.in("prices", false).num("cross-zone"),
 	}
+	if terms.MostShots < 1 {
+		allowed.fault("send-cap", "is not above 0")
+	}
 	for _, l := range top.rows("lanes") {
 		p := policy.ProfileTerms{Promised: Nanoseconds(l.need("goal-time-ms")),
 			HardLimit:   Nanoseconds(l.need("deadline-ms")),
@@ -113,6 +116,9 @@
 			p.Silence = word(l, "silence", map[string]policy.Silence{"share": policy.KeepShare,
 				"open": policy.LetAll, "closed": policy.DismissAll})
 		}
+		if p.HardLimit <= 0 {
+			l.fault("deadline-ms", "is not above 0")
+		}
 		terms.Profiles = append(terms.Profiles, p)
 	}
 	for _, p := range top.rows("tariffs") {
--- a/internal/facade/facade.go
+++ b/internal/facade/facade.go
@@ -83,6 +83,9 @@
 	go f.tick()
 }
 
+// Retune gives the decisions new terms, whose rows of profiles and plans extend the old ones.
+func (f *Facade) Retune(terms policy.Terms) { f.do(func(int64) { f.gate.Retune(terms) }) }
+
 // Stop ends the timers.
 func (f *Facade) Stop() { close(f.stopped) }
 
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -57,10 +57,10 @@
 type Server struct {
 	facade  *facade.Facade
 	pool    *backend.Pool
-	start   *config.Start
-	most    int           // connections at once
-	roomy   int           // connections of usual clients from which on quiet ones make room
-	slowest time.Duration // that a client may take to take in an answer: longer than it may wait for one
+	start   atomic.Pointer[config.Start] // its names of profiles and plans change at a reload
+	most    int                          // connections at once
+	roomy   int                          // connections of usual clients from which on quiet ones make room
+	slowest time.Duration                // that a client may take to take in an answer: longer than it may wait for one
 	mu      sync.Mutex
 	clients map[*client]struct{}
 	freed   *sync.Cond          // a connection has ended
@@ -96,7 +96,7 @@
 
 // New makes a server of at most so many connections.
 func New(f *facade.Facade, pool *backend.Pool, start *config.Start, most int) *Server {
-	s := &Server{facade: f, pool: pool, start: start, most: most, slowest: time.Second,
+	s := &Server{facade: f, pool: pool, most: most, slowest: time.Second,
 		clients: map[*client]struct{}{}, ids: map[string]struct{}{}}
 	// Usual clients hold at most a third of the descriptors. Where they leave their connections open and open a
 	// new one for each request, none can come once they are that many: half of the third stays free for those.
@@ -106,9 +106,14 @@
 		s.slowest = max(s.slowest, time.Duration(p.HardLimit)+time.Second)
 	}
 	s.freed = sync.NewCond(&s.mu)
+	s.start.Store(start)
 	return s
 }
 
+// Retune takes the names of profiles and plans of a configuration read anew: transactions from now on are
+// taken under them, open ones keep what they were taken under.
+func (s *Server) Retune(start *config.Start) { s.start.Store(start) }
+
 // Serve takes in connections until the listener is closed.
 func (s *Server) Serve(l net.Listener) error {
 	ended := make(chan struct{})
@@ -458,7 +463,7 @@
 	if len(args[2]) == 0 || len(args[2]) > 64 || bytes.ContainsFunc(args[2], strange) {
 		return profile, errors.New("id is missing or cannot be read")
 	}
-	s := c.server.start
+	s := c.server.start.Load()
 	class, plan, doors := -1, -1, max(s.Terms.Doors, 1)
 	left, units, entries, first := int64(-1), 1.0, 1, 0
 	var wait []byte
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -690,3 +690,23 @@
 		}
 	}
 }
+
+// A class added at a reload is taken at once, and under its own terms; before it, it is refused.
+func TestClassAddedAtAReload(t *testing.T) {
+	h := open(t, 10, nil)
+	c, r := h.dial()
+	report := "c=report,t=team,d=900"
+	io.WriteString(c, query("1", report))
+	h.line(r, `-ERR .*`)
+	fresh := *h.server.start.Load()
+	fresh.Terms.Profiles = append(append([]policy.ProfileTerms(nil), terms.Profiles...),
+		policy.ProfileTerms{Promised: 1e9, HardLimit: 2e9})
+	fresh.Profiles = map[string]policy.ProfileID{"lookup": 0, "report": 2}
+	h.facade.Retune(fresh.Terms)
+	h.server.Retune(&fresh)
+	io.WriteString(c, query("2", report))
+	h.next().answer("*3\r\n$2\r\nok\r\n$-1\r\n$-1\r\n")
+	h.expect(r, "$2\r\nok\r\n")
+	io.WriteString(c, query("3", "c=pay,t=team,d=900")) // dropped
+	h.line(r, `-ERR .*`)
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -25,13 +25,24 @@
 	g := &Gate{door: door, terms: terms, chance: pcg.New(seed), born: now, backends: map[BackendID]*backend{},
 		calls: map[CountID][]*call{}, customers: map[CustomerID]*customer{},
 		askAgain: 500 * ms, part: 1}
-	for _, p := range terms.Profiles {
+	g.Retune(terms)
+	if terms.ListOnRequest {
+		door.Follow()
+	}
+	g.tick(now)
+	return g
+}
+
+// Retune takes new terms. Rows of profiles and plans are only added: open transactions keep theirs.
+func (g *Gate) Retune(terms Terms) {
+	g.terms = terms
+	for _, p := range terms.Profiles[len(g.profiles):] {
 		// The post's 45 of 300 ms is dear where calls wait in line. Four fifths: below the counter's own limit.
 		wait := max(min(p.Promised/20, terms.CounterTimeout*4/5), ms)
 		g.profiles = append(g.profiles, profile{p, wait})
 		g.least = min(cmp.Or(g.least, math.Inf(1)), float64(p.Promised)/5)
 	}
-	for _, p := range terms.Plans {
+	for _, p := range terms.Plans[len(g.plans):] {
 		row := plan{PlanTerms: p}
 		if p.Rate > 0 {
 			// The counter drops numbers after a minute; the lower bound keeps absurd plans from spinning.
@@ -44,11 +55,6 @@
 		}
 		g.plans = append(g.plans, row)
 	}
-	if terms.ListOnRequest {
-		door.Follow()
-	}
-	g.tick(now)
-	return g
 }
 
 // tick is the periodic work, every tenth of a second: rarer would let one order stand for too many shots.
