Names of classes sized by the rows after a reload, not the names: a crash at the third

No other node panicked. Ruled out: drain and the figures' writer, not on the stack.

At fault: classes() made as many names as the file has, while ids after Follow reach past them. Now sized by the rows; the figures keep the old name of a row that no name takes any more, so what is open under a dropped class still counts under it. Test: classes of a followed configuration; figures of a retired row.

--- a/cmd/fawnplank/main.go
+++ b/cmd/fawnplank/main.go
@@ -269,9 +269,10 @@
 	return &kept
 }
 
-// classes are the names of the profiles, by id.
+// classes are the names of the profiles, by id; those of rows that no name takes any more are empty. Sized by
+// the rows, not the names: after a reload ids reach past the number of names.
 func classes(start *config.Start) []string {
-	names := make([]string, len(start.Profiles))
+	names := make([]string, len(start.Terms.Profiles))
 	for name, id := range start.Profiles {
 		names[id] = name
 	}
--- a/cmd/fawnplank/main_test.go
+++ b/cmd/fawnplank/main_test.go
@@ -18,6 +18,7 @@
 	"github.com/tidwall/redcon"
 
 	"fawnplank/internal/config"
+	"fawnplank/policy"
 )
 
 // TestMain lets the test's own binary be the program.
@@ -395,3 +396,12 @@
 		c.Close()
 	}
 }
+
+// After a reload, ids of classes reach past the number of names; each is named, a retired row by nothing.
+func TestClassesAfterAReload(t *testing.T) {
+	s := &config.Start{Profiles: map[string]policy.ProfileID{"lookup": 0, "pay": 2}}
+	s.Terms.Profiles = make([]policy.ProfileTerms, 3)
+	if got := classes(s); len(got) != 3 || got[0] != "lookup" || got[1] != "" || got[2] != "pay" {
+		t.Errorf("%q", got)
+	}
+}
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -4,6 +4,7 @@
 package metrics
 
 import (
+	"cmp"
 	"io"
 	"sync/atomic"
 
@@ -59,12 +60,18 @@
 	return f
 }
 
-// Classes names the profiles anew, after a reload; what was counted for classes dropped stays readable.
+// Classes names the profiles anew, after a reload; what was counted for classes dropped stays readable. An
+// empty name keeps the one it had: open transactions of a dropped class count under it.
 func (f *Figures) Classes(names []string) {
 	if f == nil {
 		return
 	}
 	names = append([]string(nil), names...)
+	if old := f.classes.Load(); old != nil {
+		for id := range min(len(*old), len(names)) {
+			names[id] = cmp.Or(names[id], (*old)[id])
+		}
+	}
 	for _, n := range names { // each is shown from 0 on
 		for _, v := range append(f.ends[:], f.dispatches) {
 			v.WithLabelValues(n)
