Values up to 4 MiB taken both ways, within two budgets of memory whose readers wait

- internal/room (x/sync semaphore): clients' large buffers and backends' large answers each within a sixth of the memory; a reader waits for room (a command up to its 2 s, an answer up to 3 s) instead of failing.
A large command takes its buffer with it, uncopied, and gives its room back at its answer.
- A command past 4 KiB is timed from its last progress, so a slow 4 MiB value is not cut off.
- Tests: two 4 MiB values in pieces over 2.4 s pass whole both ways and give all room back; a backend's reader beyond the room waits and gets room given back; old bounds in tests follow the constants.

--- a/cmd/fawnplank/main.go
+++ b/cmd/fawnplank/main.go
@@ -29,6 +29,7 @@
 	"fawnplank/internal/facade"
 	"fawnplank/internal/front"
 	"fawnplank/internal/metrics"
+	"fawnplank/internal/room"
 	"fawnplank/policy"
 )
 
@@ -150,6 +151,11 @@
 	count := counter.New(f, start.Counter, time.Duration(start.ConnectTimeout))
 	list := discovery.New(f, pool, start)
 	pool.Figures, list.Figures = figures, figures
+	// Large values of clients and of backends each hold at most a sixth of the memory; what waits for room is
+	// not read on meanwhile. Two rooms, not one: a large command holds its room until its answer is written,
+	// and that answer must not wait for the same room. With the collector's three quarters that leaves a third
+	// for the rest.
+	pool.Room = room.New(start.MemoryBytes / 6)
 	f.Run(start.Seed, start.Terms, count, pool, list)
 	if err := list.Known(start.Known); err != nil {
 		return fmt.Errorf("configuration: %w", err)
@@ -163,7 +169,7 @@
 		return fmt.Errorf("configuration: listen: %w", err)
 	}
 	server := front.New(f, pool, start, part)
-	server.Figures = figures
+	server.Figures, server.Room = figures, room.New(start.MemoryBytes/6)
 	served, stopped := make(chan error, 1), make(chan struct{})
 	go func() { served <- server.Serve(listener) }()
 	d := &door{server: server, figures: figures}
--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -19,6 +19,7 @@
 	"fawnplank/internal/facade"
 	"fawnplank/internal/metrics"
 	"fawnplank/internal/resp"
+	"fawnplank/internal/room"
 	"fawnplank/internal/sock"
 	"fawnplank/policy"
 )
@@ -26,13 +27,14 @@
 const (
 	mostLine  = 1 << 10 // of an error with its load report: several times what the settings' fields take
 	mostParts = 8       // of an answer: value, figures, report, and room
-	// mostValue is the largest value of an answer. The protocol says 64 KiB, but backends send whole values of
-	// 400 KB and more, which clients take; what is said to be far larger is no value.
-	mostValue  = 1 << 20
+	// mostValue is the largest value of an answer; what is said to be larger is no value.
+	mostValue  = resp.MostValue
 	mostAnswer = mostValue + 4<<10 // a value with its figures and report
-	// mostLarge bounds what all connections together hold beyond plain answers: a quarter of the smallest memory.
-	mostLarge   = 8 << 20
+	// plainAnswer is what a connection holds without room of the process's own for large values.
 	plainAnswer = 68 << 10
+	// roomWait is how long a reader waits for room for a large answer: the longest deadline of the operators'
+	// page. Meanwhile that backend's connection is not read on.
+	roomWait = 3 * time.Second
 )
 
 // errCrowded says that no descriptor is left for a connection.
@@ -44,12 +46,12 @@
 	idle    time.Duration // after which a warm one is closed
 	most    int           // connections at once
 	probed  func(b policy.BackendID, err error)
+	Room    *room.Room       // for large answers, beside the clients' large commands
 	Figures *metrics.Figures // counted here: shots written whole
 
 	mu    sync.Mutex // of all that follows, and of every connection's state
 	peers map[policy.BackendID]*peer
 	conns int
-	large int // bytes held beyond plain answers
 	rests rests
 }
 
@@ -109,8 +111,8 @@
 	// An answer may come before the writer is done with the connection: writing says that it is not yet, and
 	// free that the connection is to rest then.
 	writing, free bool
-	// large is what it holds beyond a plain answer.
-	large int
+	// large is what it holds of the room.
+	large int64
 }
 
 // New makes a pool of at most so many connections. idle is the time after which backends close a connection;
@@ -376,14 +378,19 @@
 		n, start, _ := resp.Length(buf[at:], '$', mostValue)
 		size = min(max(2*len(buf), at+start+n+mostLine), mostAnswer)
 	}
-	p, large := c.pool, max(size-plainAnswer, 0)
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if size > 0 && p.large+large-c.large > mostLarge || size > 0 && size <= len(buf) {
+	if size > 0 && size <= len(buf) {
 		return buf
 	}
-	p.large += large - c.large
-	c.large = large
+	if extra := int64(max(size-plainAnswer, 0)) - c.large; extra > 0 {
+		got, ok := c.pool.Room.Take(extra, time.Now().Add(roomWait))
+		if !ok {
+			return buf
+		}
+		c.large += got
+	} else if size == 0 {
+		c.pool.Room.Give(c.large)
+		c.large = 0
+	}
 	return append(make([]byte, 0, size), buf...)[:size]
 }
 
--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -4,17 +4,19 @@
 	"bytes"
 	"math/rand"
 	"net"
+	"strconv"
 	"strings"
 	"testing"
 	"testing/quick"
 	"time"
 
 	"fawnplank/internal/facade"
+	"fawnplank/internal/room"
 	"fawnplank/policy"
 )
 
 func TestMeaningOfAnswers(t *testing.T) {
-	long := strings.Repeat("v", mostValue)
+	long, most := strings.Repeat("v", mostValue), strconv.Itoa(mostValue)
 	for text, want := range map[string]struct {
 		value string
 		units float64
@@ -27,10 +29,10 @@
 		"*3\r\n$2\r\nok\r\n$-1\r\n$3\r\n\x00\n\xff\r\n":       {"$2\r\nok\r\n", 0, nil},
 		"*3\r\n$2\r\nok\r\n:5\r\n+x\r\n":                      {"$2\r\nok\r\n", 0, nil},
 		"*1\r\n$2\r\nok\r\n":                                  {"$2\r\nok\r\n", 0, nil},
-		"*1\r\n$1048576\r\n" + long + "\r\n":                  {"$1048576\r\n" + long + "\r\n", 0, nil},
-		"-BUSY\r\n":                                           {"", 0, facade.TurnedAway},
-		"-BUSY inflight=7,queue=2\r\n":                        {"", 0, facade.TurnedAway},
-		"-ERR failed inflight=7\r\n":                          {"", 0, facade.Answered},
+		"*1\r\n$" + most + "\r\n" + long + "\r\n":             {"$" + most + "\r\n" + long + "\r\n", 0, nil},
+		"-BUSY\r\n":                    {"", 0, facade.TurnedAway},
+		"-BUSY inflight=7,queue=2\r\n": {"", 0, facade.TurnedAway},
+		"-ERR failed inflight=7\r\n":   {"", 0, facade.Answered},
 	} {
 		size, value, units, err := parse([]byte(text))
 		if size != len(text) || string(value) != want.value || units != want.units || err != want.err {
@@ -48,7 +50,7 @@
 // ended the reader.
 func TestSpoiltAnswersAreSeenAtOnce(t *testing.T) {
 	for _, text := range []string{"*3\r\n$-1\r\n", "*0\r\n", "*-1\r\n", "*-7\r\n", "*3\r\n$-5\r\n",
-		"*9999999999999999999\r\n", "*1000000\r\n", "*3\r\n$3221225472\r\nxxxx", "*3\r\n$1048577\r\n",
+		"*9999999999999999999\r\n", "*1000000\r\n", "*3\r\n$3221225472\r\nxxxx", "*3\r\n$" + strconv.Itoa(mostValue+1) + "\r\n",
 		"*3\r\n$two\r\n", "*3\r\n$+2\r\n", "*3\n", "*\r\n", "*3\r\n:5\r\n", "*3\r\n$2\r\nokay\r\n", "*3\r\n$4\r\nok\r\n$-1",
 		"*3\r\n$2\r\nok\r\n$x\r\n", "*3\r\n$2\r\nok\r\nnoise\r\n", "*" + strings.Repeat("3", 50),
 		"-" + strings.Repeat("E", 2000), "-BUSYBODY\r\n", "-\r\n", "-SYNTAX\r\n", "$2\r\nok\r\n", "+OK\r\n", ":1\r\n",
@@ -215,12 +217,16 @@
 	}
 }
 
-// What large answers hold is bounded over all connections, and given back.
+// What large answers hold is bounded over all connections, and given back; a reader that finds no room waits
+// for it, and gets it once another gives it back.
 func TestLargeAnswersAreBoundedTogether(t *testing.T) {
 	p := New(100, 200*time.Millisecond, 10*time.Second, nil)
+	const most = 8 << 20
+	p.Room = room.New(most)
 	head := append([]byte("*3\r\n$1000000\r\n"), make([]byte, 4096-15)...)
+	size := 4 + 11 + 1000000 + mostLine // the head of the answer, its value, and a line
 	var held []*conn
-	for {
+	for len(held) < most/(size-plainAnswer) {
 		c := &conn{pool: p}
 		if buf := c.grow(head); len(buf) == len(head) {
 			break
@@ -229,16 +235,25 @@
 		}
 		held = append(held, c)
 	}
-	if len(held) != mostLarge/(1000000-plainAnswer) {
-		t.Errorf("%d large answers at once", len(held))
+	waiting := make(chan int)
+	go func() { waiting <- len((&conn{pool: p}).grow(head)) }()
+	select {
+	case n := <-waiting:
+		t.Fatalf("a large answer beyond the room got %d bytes", n)
+	case <-time.After(100 * time.Millisecond):
 	}
+	held[0].grow(nil)
+	if n := <-waiting; n < 1000000 {
+		t.Errorf("room given back is not taken: %d bytes", n)
+	}
+	held = held[1:]
 	if c := (&conn{pool: p}); len(c.grow(make([]byte, 4096))) != 8192 {
 		t.Error("no room for a plain answer")
 	}
 	for _, c := range held {
 		c.grow(nil)
 	}
-	if p.large != 0 {
-		t.Errorf("%d bytes are still counted", p.large)
+	if _, ok := p.Room.Take(int64(most-(size-plainAnswer)), time.Now()); !ok {
+		t.Error("room is still held")
 	}
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -26,12 +26,16 @@
 	"fawnplank/internal/facade"
 	"fawnplank/internal/metrics"
 	"fawnplank/internal/resp"
+	"fawnplank/internal/room"
 	"fawnplank/internal/sock"
 	"fawnplank/policy"
 )
 
 const (
-	mostCommand = resp.MostValue + 4<<10 // a value with its head
+	mostCommand = resp.MostValue + 64<<10 // a value with its head, and room for the rest of its fields
+	// plainCommand is what a connection's buffer may hold without room of the process's own for large values:
+	// a value of the protocol's 64 KiB with its head.
+	plainCommand = 68 << 10
 	// mostHeld is how much of one connection's unanswered commands is held; beyond it the reader waits.
 	mostHeld = 2 * mostCommand
 	// mostUnanswered is how many commands of one connection are open at once; beyond it the reader waits. Usual
@@ -66,6 +70,7 @@
 	freed   *sync.Cond          // a connection has ended
 	ids     map[string]struct{} // of the open transactions
 	Figures *metrics.Figures    // counted here: transactions taken, open and answered
+	Room    *room.Room          // for large commands, beside the backends' large answers
 	// drained is when the drain began, in Unix ns; 0: there is none. closing: Close was called.
 	drained atomic.Int64
 	closing atomic.Bool
@@ -270,6 +275,8 @@
 	last   atomic.Bool  // ends after the answers owed
 	since  atomic.Int64 // the age at which what has come of a command, or the silence, began; 0: neither
 	faults int          // of the reader: errors answered
+	large  int64        // of the room, held by the reader's buffer
+	given  bool         // the reader's buffer went with a large command
 }
 
 // command is one command, with its answer once there is one.
@@ -282,6 +289,7 @@
 	list    [2]int // where in raw the list of names and values stands, its length line too
 	wait    [2]int // where the figure of d stands
 	answer  []byte
+	large   int64 // of the room, held by raw
 }
 
 // resting tells since when nothing has been open on the connection, and how much it would be missed. One that is
@@ -383,19 +391,47 @@
 		if c.since.Load() == 0 && len(rest) > 0 {
 			c.since.Store(int64(time.Since(c.born)))
 		}
+		if len(rest) > 4096 { // beyond any head: timed from its last progress
+			c.since.Store(int64(time.Since(c.born)))
+		}
+		if c.given { // the buffer went with a large command
+			c.given = false
+			buf = make([]byte, max(4096, len(rest)))
+			if len(rest) > plainCommand && !c.roomFor(len(buf)-plainCommand) {
+				return
+			}
+		}
 		held = copy(buf, rest)
 		if held == len(buf) {
 			if held >= mostCommand {
 				c.turnAway("Protocol error: command too long")
 				return
 			}
-			buf = append(buf, make([]byte, min(len(buf), mostCommand-len(buf)))...)
+			grown := min(2*len(buf), mostCommand)
+			if grown > plainCommand && !c.roomFor(grown-max(len(buf), plainCommand)) {
+				return
+			}
+			buf = append(buf, make([]byte, grown-len(buf))...)
 		} else if held == 0 && len(buf) > 4096 {
 			buf = make([]byte, 4096)
+			c.server.Room.Give(c.large)
+			c.large = 0
 		}
 	}
 }
 
+// roomFor waits for room for a larger buffer, as long as a command may take to come whole; false: the client
+// has been turned away.
+func (c *client) roomFor(bytes int) bool {
+	got, ok := c.server.Room.Take(int64(bytes), time.Now().Add(patience))
+	if !ok {
+		c.turnAway("busy: no room for a large value")
+		return false
+	}
+	c.large += got
+	return true
+}
+
 // turnAway ends the connection with an error, behind all that is owed on it.
 func (c *client) turnAway(text string) {
 	c.answerNow("-ERR " + text)
@@ -515,7 +551,7 @@
 	}
 	pr := policy.ProfileID(class)
 	// Held on its own: the buffer goes on to the next command.
-	k := &command{client: c, id: string(args[2]), raw: bytes.Clone(raw)}
+	k := &command{client: c, id: string(args[2]), raw: raw}
 	at := func(part []byte) int { return cap(raw) - cap(part) }
 	k.list[0], k.list[1] = at(args[3]), at(args[3])+len(args[3])
 	k.wait[0], k.wait[1] = at(wait), at(wait)+len(wait)
@@ -526,6 +562,11 @@
 		c.server.free(k.id)
 		return profile, nil
 	}
+	if len(raw) > plainCommand { // large: the buffer goes with it, and the reader starts a new one
+		k.large, c.large, c.given = c.large, 0, true
+	} else {
+		k.raw = bytes.Clone(raw)
+	}
 	k.profile = pr
 	c.server.Figures.Taken()
 	k.t = c.server.facade.Take(pr, policy.PlanID(plan), policy.CustomerID(customer),
@@ -618,6 +659,7 @@
 	if k.t != nil {
 		c.server.free(k.id)
 		c.server.Figures.Over()
+		c.server.Room.Give(k.large)
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -658,6 +700,8 @@
 // leave ends the connection: what is open on it is told that the client is gone.
 func (c *client) leave() {
 	c.nc.Close()
+	c.server.Room.Give(c.large)
+	c.large = 0
 	c.mu.Lock()
 	c.gone = true
 	open := append([]*command(nil), c.line...)
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -19,6 +19,7 @@
 	"fawnplank/internal/facade"
 	"fawnplank/internal/metrics"
 	"fawnplank/internal/resp"
+	"fawnplank/internal/room"
 	"fawnplank/policy"
 )
 
@@ -710,3 +711,47 @@
 	io.WriteString(c, query("3", "c=pay,t=team,d=900")) // dropped
 	h.line(r, `-ERR .*`)
 }
+
+// A 4 MiB value that comes in pieces cut anywhere, over longer than a command may take at one go, passes whole
+// both ways, two at once within their room, and all room is given back.
+func TestLargeValuesInPieces(t *testing.T) {
+	h := open(t, 10, func(c heard) {
+		c.answer("*3\r\n$" + strconv.Itoa(4<<20) + "\r\n" + strings.Repeat("v", 4<<20) + "\r\n$-1\r\n$-1\r\n")
+	})
+	const most = 10 << 20 // two large commands at a time
+	clients := 2
+	h.server.Room = room.New(most)
+	body := strings.Repeat("b", 4<<20)
+	list := "c=lookup,t=team,d=1900"
+	want := "$" + strconv.Itoa(4<<20) + "\r\n" + strings.Repeat("v", 4<<20) + "\r\n"
+	done := make(chan string, 2)
+	for n := range clients {
+		c, r := h.dial()
+		sent := words("SVC.SUBMIT", "00000000b4d65521", "9b1f03aa5c7e2d4"+strconv.Itoa(n), list, body)
+		go func() {
+			for at, piece, mark := 0, 1+n*7, 1<<20; at < len(sent); at, piece = at+piece, piece*3%200_003+1 {
+				io.WriteString(c, sent[at:min(at+piece, len(sent))])
+				if at+piece >= mark { // after each MiB: 2.4 s in all
+					time.Sleep(600 * time.Millisecond)
+					mark += 1 << 20
+				}
+			}
+			got := make([]byte, len(want))
+			if _, err := io.ReadFull(r, got); err != nil {
+				done <- err.Error()
+			} else if string(got) != want {
+				done <- fmt.Sprintf("%.40q", got)
+			} else {
+				done <- ""
+			}
+		}()
+	}
+	for range clients {
+		if err := <-done; err != "" {
+			t.Error(err)
+		}
+	}
+	if _, ok := h.server.Room.Take(most, time.Now().Add(time.Second)); !ok {
+		t.Error("room is still held")
+	}
+}
--- a/internal/resp/resp.go
+++ b/internal/resp/resp.go
@@ -9,8 +9,9 @@
 	"strconv"
 )
 
-// MostValue is the largest value, by the protocol.
-const MostValue = 64 << 10
+// MostValue is the largest value: the protocol says 64 KiB, the operators' page that values of up to 4 MiB
+// occur.
+const MostValue = 4 << 20
 
 // Line gives the text of a line behind its first byte, and the whole line's size, 0 where its end has not come;
 // false says that it is none, or longer than most.
