A long answer still coming is read to its end, not cut off, when its shot is given up

At fault: conn.Drop closed the connection whatever had come of the answer. Test: a 2 MiB answer whose shot is given up halfway is not cut off (fails without the fix).

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -12,6 +12,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -111,8 +112,9 @@
 	// An answer may come before the writer is done with the connection: writing says that it is not yet, and
 	// free that the connection is to rest then.
 	writing, free bool
-	// large is what it holds of the room.
+	// large is what it holds of the room; long says that a long answer is coming in.
 	large int64
+	long  atomic.Bool
 }
 
 // New makes a pool of at most so many connections. idle is the time after which backends close a connection;
@@ -280,6 +282,14 @@
 	if c.shot != s {
 		return false
 	}
+	if c.came != facade.Writing && c.long.Load() {
+		// Guards against cutting off a long answer that the backend is still giving, which the operators count
+		// as a lost request: the reader takes the rest and drops it, then ends the connection. Hurts by keeping
+		// the connection and its room up to roomWait longer.
+		c.shot = nil
+		c.nc.SetReadDeadline(time.Now().Add(roomWait))
+		return false
+	}
 	c.close()
 	if c.came == facade.Writing {
 		return true
@@ -381,6 +391,7 @@
 	if size > 0 && size <= len(buf) {
 		return buf
 	}
+	c.long.Store(size > plainAnswer)
 	if extra := int64(max(size-plainAnswer, 0)) - c.large; extra > 0 {
 		got, ok := c.pool.Room.Take(extra, time.Now().Add(roomWait))
 		if !ok {
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -755,3 +755,37 @@
 		t.Error("room is still held")
 	}
 }
+
+// Failure: a shot given up while its long answer was still coming closed the connection under the backend,
+// which the operators count as a lost request. The rest is read, and the connection ends after it.
+func TestLongAnswerIsNotCutOff(t *testing.T) {
+	var h *house
+	cut := make(chan bool, 1)
+	h = open(t, 10, func(c heard) {
+		value := strings.Repeat("v", 2<<20)
+		answer := "*3\r\n$" + strconv.Itoa(len(value)) + "\r\n" + value + "\r\n$-1\r\n$-1\r\n"
+		io.WriteString(c.conn, answer[:1<<20])
+		time.Sleep(700 * time.Millisecond) // the transaction's time is up meanwhile
+		h.mu.Lock()
+		ended := h.ended[c.conn]
+		h.mu.Unlock()
+		_, err := io.WriteString(c.conn, answer[1<<20:])
+		cut <- ended || err != nil
+	})
+	c, r := h.dial()
+	io.WriteString(c, query("1", "c=lookup,t=team,d=300"))
+	h.line(r, `-(BUSY|ERR).*`)
+	if <-cut {
+		t.Error("the long answer was cut off")
+	}
+	for deadline := time.Now().Add(time.Second); ; time.Sleep(10 * time.Millisecond) {
+		h.mu.Lock()
+		n := len(h.ended)
+		h.mu.Unlock()
+		if n > 0 {
+			break
+		} else if time.Now().After(deadline) {
+			t.Fatal("the connection was kept after the answer that nobody wants")
+		}
+	}
+}
