An answer already begun is read to its end when its shot is given up, while pieces come

Checked the code paths that close a connection under an answer: the drop kept the connection only once 4 KiB had come (long is set at the first growth of the buffer), and then cut the answer off 3 s after the drop whatever still came. Both could cut a slow long answer.

Now a drop keeps the connection where any byte of the answer has come or is waiting, and each piece extends the reader's deadline by 3 s.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -113,8 +113,9 @@
 	// free that the connection is to rest then.
 	writing, free bool
 	// large is what it holds of the room; long says that a long answer is coming in.
-	large int64
-	long  atomic.Bool
+	large  int64
+	long   atomic.Bool
+	orphan atomic.Bool // its shot was given up while the answer came: what comes is dropped
 }
 
 // New makes a pool of at most so many connections. idle is the time after which backends close a connection;
@@ -282,11 +283,12 @@
 	if c.shot != s {
 		return false
 	}
-	if c.came != facade.Writing && c.long.Load() {
-		// Guards against cutting off a long answer that the backend is still giving, which the operators count
-		// as a lost request: the reader takes the rest and drops it, then ends the connection. Hurts by keeping
-		// the connection and its room up to roomWait longer.
+	if c.came != facade.Writing && (c.long.Load() || !c.nc.Settled()) {
+		// Guards against cutting off an answer that the backend is still giving, which the operators count as
+		// a lost request where it is long: the reader takes the rest and drops it, then ends the connection; it
+		// waits roomWait at most for each further piece. Hurts by keeping the connection and its room longer.
 		c.shot = nil
+		c.orphan.Store(true)
 		c.nc.SetReadDeadline(time.Now().Add(roomWait))
 		return false
 	}
@@ -354,6 +356,9 @@
 			c.over(held, err)
 			return
 		}
+		if c.orphan.Load() {
+			c.nc.SetReadDeadline(time.Now().Add(roomWait))
+		}
 		size, value, units, err := parse(buf[:held])
 		switch {
 		case size == 0 && err != nil: // the connection is of no further use
