A given-up shot's connection is never cut under the backend, even before its answer begins

Checked with probe logs on every path that closes under a shot (since removed): no reader lacked room, no buffer was full; one drop closed a connection whose shot was written whole and whose answer had not begun, the one path left. Ruled out: room, sizes.

Now every drop after the last byte was written leaves the connection to its reader, which drops what comes and ends it after 3 s of silence.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -112,9 +112,8 @@
 	// An answer may come before the writer is done with the connection: writing says that it is not yet, and
 	// free that the connection is to rest then.
 	writing, free bool
-	// large is what it holds of the room; long says that a long answer is coming in.
+	// large is what it holds of the room.
 	large  int64
-	long   atomic.Bool
 	orphan atomic.Bool // its shot was given up while the answer came: what comes is dropped
 }
 
@@ -283,10 +282,11 @@
 	if c.shot != s {
 		return false
 	}
-	if c.came != facade.Writing && (c.long.Load() || !c.nc.Settled()) {
-		// Guards against cutting off an answer that the backend is still giving, which the operators count as
-		// a lost request where it is long: the reader takes the rest and drops it, then ends the connection; it
-		// waits roomWait at most for each further piece. Hurts by keeping the connection and its room longer.
+	if c.came != facade.Writing {
+		// Guards against cutting off an answer that the backend is giving or about to give, which the operators
+		// count as a lost request where it is long: the reader takes what comes and drops it, then ends the
+		// connection; it waits roomWait at most for each piece. Hurts by keeping the connection and its room
+		// longer, and a backend that answers nothing keeps it roomWait.
 		c.shot = nil
 		c.orphan.Store(true)
 		c.nc.SetReadDeadline(time.Now().Add(roomWait))
@@ -396,7 +396,6 @@
 	if size > 0 && size <= len(buf) {
 		return buf
 	}
-	c.long.Store(size > plainAnswer)
 	if extra := int64(max(size-plainAnswer, 0)) - c.large; extra > 0 {
 		got, ok := c.pool.Room.Take(extra, time.Now().Add(roomWait))
 		if !ok {
