A large answer is written to its client in pieces, each renewing the deadline

Checked with probe logs (since removed): no close path in backend fired (no room lacking, no full buffer, no orphan's silence, no bytes behind an answer); in front two writes to clients timed out after 3.2 of 3.4 MB, one a cut-off, and closed the connection.

At fault: client.write gave all of an answer one deadline, the longest hard limit and a second. Now it writes 256 KiB pieces and renews the deadline between them: a client that reads steadily is not cut off, one that reads nothing still is. Test: a slow reader gets 4 MiB whole; it does not fail without the fix on this kernel, whose send buffer takes all but a few hundred KB at once (open).

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -687,13 +687,21 @@
 }
 
 func (c *client) write(answer []byte) {
-	// The deadline is renewed now and then: one a write is dear.
-	if now := time.Now(); now.Sub(c.bounds) > c.server.slowest/5 {
-		c.bounds = now
-		c.nc.SetWriteDeadline(now.Add(c.server.slowest))
-	}
-	if _, err := c.nc.Write(answer); err != nil {
-		c.nc.Close()
+	// A large answer goes in pieces, each with the deadline renewed: a client that takes a 4 MiB answer slowly
+	// but steadily is not cut off, one that takes nothing is, after slowest. The deadline is renewed now and
+	// then: one a write is dear.
+	const piece = 256 << 10
+	for len(answer) > 0 {
+		if now := time.Now(); now.Sub(c.bounds) > c.server.slowest/5 {
+			c.bounds = now
+			c.nc.SetWriteDeadline(now.Add(c.server.slowest))
+		}
+		part := answer[:min(len(answer), piece)]
+		if _, err := c.nc.Write(part); err != nil {
+			c.nc.Close()
+			return
+		}
+		answer = answer[len(part):]
 	}
 }
 
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -791,3 +791,31 @@
 		}
 	}
 }
+
+// A client that reads a 4 MiB answer slowly gets it whole. (The failure it stands for, one deadline for all of a
+// 3.4 MB answer, does not show here: loopback's send buffer takes all but a few hundred KB at once.)
+func TestSlowReaderGetsALargeAnswerWhole(t *testing.T) {
+	value := strings.Repeat("v", 4<<20)
+	h := open(t, 10, func(c heard) {
+		c.answer("*3\r\n$" + strconv.Itoa(len(value)) + "\r\n" + value + "\r\n$-1\r\n$-1\r\n")
+	})
+	h.server.slowest = 2500 * time.Millisecond // less than the answer takes, more than the kernel waits a piece
+	c, r := h.dial()
+	c.(*net.TCPConn).SetReadBuffer(16 << 10) // so that the kernel's buffers do not take all of it at once
+	c.SetDeadline(time.Now().Add(20 * time.Second))
+	io.WriteString(c, query("1", lookup))
+	want := "$" + strconv.Itoa(len(value)) + "\r\n" + value + "\r\n"
+	var got []byte
+	buf := make([]byte, 64<<10)
+	for len(got) < len(want) { // 4 MiB at about 900 KB/s
+		n, err := r.Read(buf)
+		if err != nil {
+			t.Fatalf("after %d bytes: %v", len(got), err)
+		}
+		got = append(got, buf[:n]...)
+		time.Sleep(35 * time.Millisecond)
+	}
+	if string(got) != want {
+		t.Errorf("%d bytes, not the %d sent", len(got), len(want))
+	}
+}
