--- a/policy/policy.go
+++ b/policy/policy.go
@@ -219,27 +219,24 @@
 // ask counts the transaction, if the breaker lets it call, and goes by the door's share if not.
 func (t *Transaction) ask(now int64) {
 	g, c := t.gate, t.customer
-	if g.pick(now, t, 1) == nil {
+	switch {
+	case g.pick(now, t, 1) == nil:
 		t.end(now, t.profile.Promised/8) // no backend has room: counted, it would shut others of the customer out
-		return
-	}
-	if c.known+t.units > c.plan.quota+c.refilled(now, c.start)+slop {
+	case c.known+t.units > c.plan.quota+c.refilled(now, c.start)+slop:
 		c.learn(0)
 		t.beyond(now) // spent as far as is known: no call can say otherwise
-		return
-	}
-	if !g.mayCall(now) {
+	case !g.mayCall(now):
 		t.decide(now, t.share(now), nil)
-		return
+	default:
+		t.asking = true
+		c.asks++
+		// A crowded counter hears of a part of the transactions only: each stands for the others let in too.
+		k := g.count(now, c, t, t.units*(1+(1/max(g.part, 0.2)-1)*t.chance()), c.owed)
+		c.owed = 0
+		g.at(now+min(t.profile.wait, (t.limit-now)/2), &k.waits, func(now int64) {
+			k.answered(g, now, false, t.share(now))
+		})
 	}
-	t.asking = true
-	c.asks++
-	// A crowded counter hears of a part of the transactions only: each stands for the others let in too.
-	k := g.count(now, c, t, t.units*(1+(1/max(g.part, 0.2)-1)*t.chance()), c.owed)
-	c.owed = 0
-	g.at(now+min(t.profile.wait, (t.limit-now)/2), &k.waits, func(now int64) {
-		k.answered(g, now, false, t.share(now))
-	})
 }
 
 func (k *call) answered(g *Gate, now int64, ok, in bool) {
@@ -356,11 +353,8 @@
 	}
 	if k.waits {
 		room := c.plan.quota + refilled - total + k.units - t.units
-		in := room+slop >= 0
-		if c.plan.mark > 0 && out > float64(c.plan.Parallel) {
-			in = false // what is let in without a call goes unseen
-		}
-		k.answered(g, now, true, in)
+		over := c.plan.mark > 0 && out > float64(c.plan.Parallel) // what is let in without a call goes unseen
+		k.answered(g, now, true, room+slop >= 0 && !over)
 		c.learn(min(max(room+t.units, 0)/t.units, 1))
 	}
 	if !k.in && c.close {
@@ -387,14 +381,8 @@
 // share decides without the counter: by the profile's preset, or by the door's share of the quota.
 func (t *Transaction) share(now int64) bool {
 	c := t.customer
-	if t.capped() {
-		return false
-	}
-	switch t.profile.Silence {
-	case LetAll:
-		return true
-	case DismissAll:
-		return false
+	if preset := t.profile.Silence; t.capped() || preset != KeepShare {
+		return preset == LetAll && !t.capped()
 	}
 	share := t.allowance(now)
 	if c.spent+t.units > share+slop {
@@ -512,24 +500,16 @@
 // allowed says whether a shot may go to b: the one gate of rules 1 to 4.
 func (t *Transaction) allowed(now int64, b *backend) bool {
 	g := t.gate
-	if t.over || t.started || now >= t.limit || len(t.shots) >= g.terms.MostShots || !b.ready {
-		return false
-	}
-	if t.out > 0 && !g.terms.SecondCopies {
+	if t.over || t.started || now >= t.limit || len(t.shots) >= g.terms.MostShots || !b.ready ||
+		t.out > 0 && !g.terms.SecondCopies {
 		return false
 	}
 	for _, s := range t.shots {
-		if !s.harmed {
-			continue
-		}
-		switch t.profile.Effect {
-		case AtMostOnce:
+		p := t.profile
+		known := now < s.sent+p.Memory && (p.Reach != ReachZone || s.zone == b.zone) &&
+			(p.Reach != ReachGroup || s.group == b.group) // b knows a repeat of this shot by its number
+		if s.harmed && (p.Effect == AtMostOnce || p.Effect == Numbered && !known) {
 			return false
-		case Numbered:
-			if now >= s.sent+t.profile.Memory || t.profile.Reach == ReachZone && s.zone != b.zone ||
-				t.profile.Reach == ReachGroup && s.group != b.group {
-				return false
-			}
 		}
 	}
 	return t.coldRoom(now, b)
@@ -714,9 +694,8 @@
 		if l.Started != b.started && l.Stage == Ready {
 			b.pace, b.strikes, b.errors, b.rest, b.turn = mean{}, 0, 0, 0, 0
 		}
-		b.zone, b.group, b.started, b.ready = l.Zone, l.Group, l.Started, l.Stage == Ready
-		b.gone = l.Stage == Gone
-		b.size = cmp.Or(max(l.Size, 0), 1) // unlisted sizes are alike
+		b.zone, b.group, b.started = l.Zone, l.Group, l.Started
+		b.ready, b.gone, b.size = l.Stage == Ready, l.Stage == Gone, cmp.Or(max(l.Size, 0), 1) // unlisted sizes are alike
 	}
 	g.parts()
 	g.rank(now)
@@ -752,17 +731,15 @@
 func (g *Gate) rank(now int64) {
 	g.ranked = g.ranked[:0]
 	for _, b := range g.listed {
-		if b.ready {
-			g.ranked = append(g.ranked, b)
+		if !b.ready {
+			continue
 		}
-	}
-	for _, b := range g.ranked {
+		g.ranked = append(g.ranked, b)
 		usual := g.all.value
 		if b.late = usual; !g.cold(now, b) {
 			b.late = b.pace.blend(usual, 3)
 		}
-		times := max(b.late, 1) / max(usual, 1)
-		b.key = math.Round(2 * math.Log2(times))
+		b.key = math.Round(2 * math.Log2(max(b.late, 1)/max(usual, 1)))
 		b.limit = min(max(math.Exp2(-b.key/2), 0.25), 2) // in steps too, or chance alone would lift one over it
 		if g.terms.CrossZonePrice > 0 && b.zone != g.terms.Zone {
 			b.key += 0.5
