--- /dev/null
+++ b/internal/lab/record/log.go
@@ -0,0 +1,101 @@
+package record
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"fawnplank/internal/lab/rules"
+)
+
+// Log is a recorder on the wall clock, for many goroutines: it stamps each event as it comes in, so that all of
+// them stand in one order. It notes which door a try went to, since a backend does not see that.
+type Log struct {
+	mu    sync.Mutex
+	start atomic.Pointer[time.Time] // nil: the run has not begun, and all that is seen counts as at its start
+	rec   *Recorder
+	doors map[rules.TryID]int
+	calls uint64
+	lives map[int]int
+	done  bool
+}
+
+// NewLog makes a log.
+func NewLog(rec *Recorder) *Log {
+	return &Log{rec: rec, doors: map[rules.TryID]int{}, lives: map[int]int{}}
+}
+
+// Begin lets the run's time begin now.
+func (l *Log) Begin() {
+	now := time.Now()
+	l.start.Store(&now)
+}
+
+// Now is the time since the run's start, in nanoseconds.
+func (l *Log) Now() int64 {
+	if start := l.start.Load(); start != nil {
+		return int64(time.Since(*start))
+	}
+	return 0
+}
+
+// Start is when the run began.
+func (l *Log) Start() time.Time { return *l.start.Load() }
+
+// See stamps an event and takes it in. The time that it gives is the event's.
+func (l *Log) See(e rules.Event) int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	e.At = l.Now()
+	if l.done {
+		return e.At
+	}
+	l.calls++
+	switch e.Kind {
+	case rules.Asked:
+		l.doors[e.Try] = e.Door
+		e.Limit += e.At // told as the time left
+	case rules.Arrived, rules.TurnedAway:
+		e.Door = l.doors[e.Try]
+	case rules.DoorDied:
+		l.lives[e.Door]++
+	}
+	l.rec.See(e)
+	return e.At
+}
+
+// Life is how often the door died.
+func (l *Log) Life(door int) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.lives[door]
+}
+
+// Unsent counts a transaction that no door took.
+func (l *Log) Unsent() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.rec.Unsent(l.Now())
+}
+
+// Call counts a call of the counter.
+func (l *Log) Call(failed bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.rec.Call(l.Now(), failed)
+}
+
+// Open notes how many doors call nothing.
+func (l *Log) Open(doors int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.rec.Open(l.Now(), doors)
+}
+
+// Finish ends the run; later events are dropped.
+func (l *Log) Finish() *Run {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.done = true
+	return l.rec.Finish(l.Now(), l.calls)
+}
--- /dev/null
+++ b/internal/lab/record/record.go
@@ -0,0 +1,339 @@
+// Package record turns what was seen in a run into its results: rows a second, latencies in an HDR histogram
+// (Tene's), quotas against the stores as one honest counter would keep them, and the findings of the rules. A run
+// is written as JSON and read back for reports. The package runs nothing and holds no clock.
+package record
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"os"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"fawnplank/internal/lab/rules"
+	"fawnplank/internal/lab/scenario"
+	"fawnplank/policy"
+)
+
+// Version is of the form of a run's file; another one is refused.
+const Version = 1
+
+// Row is one second of a run. Latencies are milliseconds, from when a try was due to its answer's last byte.
+type Row struct {
+	Second    int     `json:"second"`
+	Asked     int     `json:"asked"`
+	Fulfilled int     `json:"fulfilled"`
+	Late      int     `json:"late"` // of the fulfilled, after the promised time
+	Dismissed int     `json:"dismissed"`
+	BrokenOff int     `json:"broken_off"`
+	Left      int     `json:"left"`
+	Unsent    int     `json:"unsent"` // no door took it
+	P50       float64 `json:"p50_ms"`
+	P99       float64 `json:"p99_ms"`
+	Shots     int     `json:"shots"`
+	Away      int     `json:"turned_away"`
+	Calls     int     `json:"counter_calls"`
+	Failed    int     `json:"counter_failed"`
+	Open      int     `json:"breakers_open"` // doors whose breaker is open, or that called nothing
+	Over      float64 `json:"units_over"`    // units sent on that an honest counter would have turned away
+	Under     float64 `json:"units_under"`   // units dismissed unsent that it would have let in
+	Inside    float64 `json:"units_inside"`  // units sent on within the quota
+}
+
+// Total is a run's sums.
+type Total struct {
+	Row
+	Transactions int     `json:"transactions"` // tries but for clients' repeats
+	P90          float64 `json:"p90_ms"`
+	P999         float64 `json:"p999_ms"`
+	Most         float64 `json:"max_ms"`
+}
+
+// Point is a percentile of the answers' latencies.
+type Point struct {
+	Percent float64 `json:"percent"`
+	Ms      float64 `json:"ms"`
+}
+
+// Run is the results of one run. The same scenario on the model gives the same bytes.
+type Run struct {
+	Version  int             `json:"version"`
+	Scenario string          `json:"scenario"`
+	About    string          `json:"about"`
+	On       string          `json:"on"`
+	Label    string          `json:"label,omitempty"`
+	Seed     uint64          `json:"seed"`
+	Doors    int             `json:"doors"`
+	Backends int             `json:"backends"`
+	Rate     float64         `json:"rate"`
+	Promised float64         `json:"promised_ms"` // of the first profile
+	Events   uint64          `json:"events"`
+	LagP50   float64         `json:"tool_lag_p50_ms"` // the load tool's own part of the latencies; 0 on the model
+	LagP99   float64         `json:"tool_lag_p99_ms"`
+	Total    Total           `json:"total"`
+	Latency  []Point         `json:"latency"`
+	Rules    map[string]int  `json:"rules_broken"`
+	Findings []rules.Finding `json:"findings"`
+	Faults   []Mark          `json:"faults"`
+	Rows     []Row           `json:"rows"`
+}
+
+// Mark is when a fault held, in seconds, for plots.
+type Mark struct {
+	Kind  string  `json:"kind"`
+	From  float64 `json:"from_s"`
+	Until float64 `json:"until_s"`
+}
+
+type open struct {
+	rules.Event
+	arrived bool
+}
+
+// store is a customer's quota as one honest counter would keep it. left is drawn by what was sent on; spare by what
+// was dismissed too, where an honest counter would have let it in: a customer that asks many times for the same
+// unit lost it once.
+type store struct {
+	left, spare float64
+	at          int64
+}
+
+// Recorder takes events in order of time, in nanoseconds since the run's start.
+type Recorder struct {
+	s       *scenario.Scenario
+	checker *rules.Checker
+	run     *Run
+	row     Row
+	second  *hdrhistogram.Histogram
+	all     *hdrhistogram.Histogram
+	tries   map[rules.TryID]*open
+	stores  map[int]*store
+}
+
+// New makes a recorder for a scenario. slack is what the ways between the parties may take where only ends are
+// seen; ceilings and profiles are read from the terms, which front doors go by too.
+func New(s *scenario.Scenario, terms policy.Terms, slack int64) *Recorder {
+	t := rules.Terms{Profiles: terms.Profiles, Plans: terms.Plans, Grace: int64(s.Rules.Grace), Drain: int64(s.Rules.Drain),
+		Slack: slack, Cores: float64(s.Backends.Cores), ColdShare: s.Rules.ColdShare, WarmUp: int64(s.Rules.WarmUp),
+		FallMultiple: s.Rules.FallMultiple, FallSpan: int64(s.Rules.FallSpan),
+		Zone: func(b int) int { return b % s.Backends.Zones }, Group: func(b int) int { return b % s.Backends.Groups }}
+	for _, p := range s.Plans {
+		t.CeilingSlack = append(t.CeilingSlack, p.CeilingSlack)
+	}
+	r := &Recorder{s: s, checker: rules.New(t), tries: map[rules.TryID]*open{}, stores: map[int]*store{},
+		second: histogram(), all: histogram(),
+		run: &Run{Version: Version, Scenario: s.Name, About: s.About, On: s.On, Seed: s.Seed, Doors: s.Doors.Count,
+			Backends: s.Backends.Count, Rate: s.Load.Rate, Promised: float64(s.Profiles[0].Promised) / 1e6}}
+	for _, f := range s.Faults {
+		// Staggered faults last until the last one's end.
+		last := f.At + f.For + f.Each*scenario.Span(max(len(s.Targets(f))-1, 0))
+		r.run.Faults = append(r.run.Faults, Mark{string(f.Kind), float64(f.At) / 1e9, float64(last) / 1e9})
+	}
+	return r
+}
+
+// histogram holds microseconds up to two minutes, to three digits.
+func histogram() *hdrhistogram.Histogram { return hdrhistogram.New(1, 120e6, 3) }
+
+// turn goes on to the second of the time at.
+func (r *Recorder) turn(at int64) {
+	for int64(r.row.Second+1)*1e9 <= at {
+		r.close()
+	}
+}
+
+func (r *Recorder) close() {
+	if r.second.TotalCount() > 0 {
+		r.row.P50 = float64(r.second.ValueAtQuantile(50)) / 1e3
+		r.row.P99 = float64(r.second.ValueAtQuantile(99)) / 1e3
+		r.second.Reset()
+	}
+	r.run.Rows = append(r.run.Rows, r.row)
+	r.row = Row{Second: r.row.Second + 1}
+}
+
+// See takes the next event.
+func (r *Recorder) See(e rules.Event) {
+	r.turn(e.At)
+	r.checker.See(e)
+	t := r.tries[e.Try]
+	switch e.Kind {
+	case rules.Asked:
+		r.tries[e.Try] = &open{Event: e}
+		if r.row.Asked++; !e.Again {
+			r.run.Total.Transactions++
+		}
+		return
+	case rules.TurnedAway:
+		r.row.Away++
+		return
+	case rules.Arrived:
+		r.row.Shots++
+	}
+	if t == nil {
+		return
+	}
+	switch e.Kind {
+	case rules.Arrived:
+		if !t.arrived {
+			t.arrived = true
+			r.draw(e.At, t)
+		}
+		return
+	case rules.Fulfilled:
+		took := max(e.At-t.Due, 0)
+		r.second.RecordValue(max(min(took/1e3, 120e6), 1))
+		r.all.RecordValue(max(min(took/1e3, 120e6), 1))
+		r.row.Fulfilled++
+		if took > int64(r.s.Profiles[t.Profile].Promised) {
+			r.row.Late++
+		}
+	case rules.Dismissed:
+		r.row.Dismissed++
+		if s := r.fill(e.At, t); s != nil && !t.arrived && s.spare >= t.Units {
+			r.row.Under += t.Units
+			s.spare -= t.Units
+		}
+	case rules.BrokenOff:
+		r.row.BrokenOff++
+	case rules.Left:
+		r.row.Left++
+	default:
+		return
+	}
+	delete(r.tries, e.Try)
+}
+
+// fill reckons the customer's store as one honest counter would keep it: it starts full, and refills at the rate.
+func (r *Recorder) fill(at int64, t *open) *store {
+	plan := r.s.Plans[t.Plan]
+	if plan.Rate <= 0 {
+		return nil
+	}
+	s := r.stores[t.Customer]
+	if s == nil {
+		s = &store{left: plan.Burst, spare: plan.Burst, at: at}
+		r.stores[t.Customer] = s
+	}
+	refilled := float64(at-s.at) / 1e9 * plan.Rate
+	s.left, s.spare, s.at = min(s.left+refilled, plan.Burst), min(s.spare+refilled, plan.Burst), at
+	return s
+}
+
+func (r *Recorder) draw(at int64, t *open) {
+	s := r.fill(at, t)
+	if s == nil {
+		return
+	}
+	s.spare = max(s.spare-t.Units, 0)
+	switch {
+	case s.left >= t.Units:
+		s.left -= t.Units
+		r.row.Inside += t.Units
+	default:
+		r.row.Over += t.Units
+	}
+}
+
+// Unsent counts a transaction that no door took.
+func (r *Recorder) Unsent(at int64) { r.turn(at); r.row.Unsent++ }
+
+// Call counts a call that came to the counter, or failed to.
+func (r *Recorder) Call(at int64, failed bool) {
+	r.turn(at)
+	if r.row.Calls++; failed {
+		r.row.Failed++
+	}
+}
+
+// Open notes how many doors have their breaker open.
+func (r *Recorder) Open(at int64, doors int) { r.turn(at); r.row.Open = doors }
+
+// Finish ends the run at the time at, and gives its results.
+func (r *Recorder) Finish(at int64, events uint64) *Run {
+	r.turn(at)
+	r.close()
+	run := r.run
+	run.Events = events
+	run.Findings, run.Rules = r.checker.End(at)
+	total := &run.Total
+	for _, x := range run.Rows {
+		total.Asked += x.Asked
+		total.Fulfilled += x.Fulfilled
+		total.Late += x.Late
+		total.Dismissed += x.Dismissed
+		total.BrokenOff += x.BrokenOff
+		total.Left += x.Left
+		total.Unsent += x.Unsent
+		total.Shots += x.Shots
+		total.Away += x.Away
+		total.Calls += x.Calls
+		total.Failed += x.Failed
+		total.Over += x.Over
+		total.Under += x.Under
+		total.Inside += x.Inside
+		total.Open = max(total.Open, x.Open)
+	}
+	total.Second = len(run.Rows)
+	at99 := func(q float64) float64 { return float64(r.all.ValueAtQuantile(q)) / 1e3 }
+	if r.all.TotalCount() > 0 {
+		total.P50, total.P90, total.P99, total.P999, total.Most = at99(50), at99(90), at99(99), at99(99.9), float64(r.all.Max())/1e3
+		for _, b := range r.all.CumulativeDistribution() {
+			if b.Count > 0 && (len(run.Latency) == 0 || b.Quantile > run.Latency[len(run.Latency)-1].Percent) {
+				run.Latency = append(run.Latency, Point{b.Quantile, float64(b.ValueAt) / 1e3})
+			}
+		}
+	}
+	return run
+}
+
+// Broken is how often rules were broken, all told.
+func (r *Run) Broken() int {
+	n := 0
+	for _, x := range r.Rules {
+		n += x
+	}
+	return n
+}
+
+// Drift is the units sent on beyond the quotas, and those dismissed inside them, as shares of all that an honest
+// counter would have let in.
+func (r *Run) Drift() (over, under float64) {
+	all := math.Max(r.Total.Inside+r.Total.Under, 1)
+	return r.Total.Over / all, r.Total.Under / all
+}
+
+// Bytes is the run's file.
+func (r *Run) Bytes() ([]byte, error) {
+	text, err := json.MarshalIndent(r, "", " ")
+	return append(text, '\n'), err
+}
+
+// Write writes the run to a file.
+func (r *Run) Write(path string) error {
+	text, err := r.Bytes()
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(path, text, 0o644)
+}
+
+// Read reads a run from its file.
+func Read(path string) (*Run, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	var r Run
+	if err := json.Unmarshal(text, &r); err != nil {
+		return nil, fmt.Errorf("%s: no run: %w", path, err)
+	}
+	if r.Version != Version {
+		return nil, fmt.Errorf("%s: a run of form %d, where %d is read", path, r.Version, Version)
+	}
+	if len(r.Rows) == 0 {
+		return nil, fmt.Errorf("%s: a run without rows", path)
+	}
+	return &r, nil
+}
--- /dev/null
+++ b/internal/lab/scenario/scenario.go
@@ -0,0 +1,425 @@
+// Package scenario reads the laboratory's scenario files: what is balanced, who asks for what, and which
+// faults come when. It gives defaults, checks every key, and turns the terms of service into the settings that
+// a real front door reads, so that the model and the sockets go by the same ones. It runs nothing.
+package scenario
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"fawnplank/internal/config"
+	"fawnplank/internal/tomlfile"
+	"fawnplank/policy"
+)
+
+// Span is a time in nanoseconds, written as Go writes them: "20ms", "1.5s".
+type Span int64
+
+// UnmarshalText reads a time.
+func (s *Span) UnmarshalText(text []byte) error {
+	d, err := time.ParseDuration(string(text))
+	if err != nil {
+		return fmt.Errorf("%q is no time such as 20ms or 1.5s", text)
+	}
+	*s = Span(d)
+	return nil
+}
+
+// MarshalText writes it.
+func (s Span) MarshalText() ([]byte, error) { return []byte(time.Duration(s).String()), nil }
+
+// Where a scenario is played.
+const (
+	OnModel   = "model"   // simulated time, in one process
+	OnSockets = "sockets" // real front doors between stand-ins on loopback
+)
+
+// Scenario is one experiment. Times are nanoseconds, rates a second.
+type Scenario struct {
+	Name     string `toml:"name"`
+	About    string `toml:"about"`
+	On       string `toml:"on"`
+	Seed     uint64 `toml:"seed"`
+	Duration Span   `toml:"duration"` // clients ask for so long; what is open is waited for after that
+
+	Doors struct {
+		Count    int `toml:"count"`
+		MemoryMB int `toml:"memory_mb"` // sockets only
+		Sockets  int `toml:"sockets"`   // sockets only
+	} `toml:"doors"`
+	Backends struct {
+		Count  int     `toml:"count"`
+		Cores  int     `toml:"cores"`  // shots worked on at once
+		Work   Span    `toml:"work"`   // median of a unit
+		Spread float64 `toml:"spread"` // sigma of its logarithm; 0: all alike
+		Queue  int     `toml:"queue"`  // shots that wait at most; further ones are turned away
+		Zones  int     `toml:"zones"`
+		Groups int     `toml:"groups"`
+	} `toml:"backends"`
+	Counter struct {
+		Off     bool    `toml:"off"`
+		Delay   Span    `toml:"delay"` // of an answer, beside the network's
+		Rate    float64 `toml:"rate"`  // calls a second at most; 0: no bound
+		Timeout Span    `toml:"timeout"`
+	} `toml:"counter"`
+	Discovery struct {
+		Delay Span `toml:"delay"` // of a change, until it is told
+	} `toml:"discovery"`
+	Net struct {
+		Delay Span `toml:"delay"` // one way; model only
+	} `toml:"net"`
+	Load struct {
+		Rate        float64 `toml:"rate"`     // transactions a second, all doors together
+		Arrivals    string  `toml:"arrivals"` // "poisson" or "fixed"
+		Most        int     `toml:"most"`     // transactions at most
+		Customers   int     `toml:"customers"`
+		Skew        float64 `toml:"skew"`  // exponent of Zipf's law over the customers; 0: all alike
+		Units       float64 `toml:"units"` // mean; 1 or more each
+		Spread      int     `toml:"spread"`
+		Retries     int     `toml:"retries"` // after a dismissal, at most
+		Connections int     `toml:"connections"`
+	} `toml:"load"`
+	Rules struct {
+		Grace        Span    `toml:"grace"` // of the final answer after the client's time
+		Drain        Span    `toml:"drain"` // of sends to a backend that is told to drain or to be gone
+		ColdShare    float64 `toml:"cold_share"`
+		WarmUp       Span    `toml:"warm_up"`
+		FallMultiple float64 `toml:"fall_multiple"`
+		FallSpan     Span    `toml:"fall_span"`
+	} `toml:"rules"`
+	Allow struct {
+		Shots         int  `toml:"shots"`
+		SecondCopies  bool `toml:"second_copies"`
+		Recalls       bool `toml:"recalls"`
+		Probes        bool `toml:"probes"`
+		Advice        bool `toml:"advice"`
+		LongestAdvice Span `toml:"longest_advice"`
+	} `toml:"allow"`
+	Profiles []Profile `toml:"profile"`
+	Plans    []Plan    `toml:"plan"`
+	Faults   []Fault   `toml:"fault"`
+}
+
+// Profile is a kind of transaction.
+type Profile struct {
+	Name        string  `toml:"name"`
+	Effect      string  `toml:"effect"` // reissuable, numbered or at-most-once
+	Reach       string  `toml:"reach"`  // numbered: all, zone or group
+	Memory      Span    `toml:"memory"` // numbered
+	Promised    Span    `toml:"promised"`
+	HardLimit   Span    `toml:"hard_limit"`
+	LateUtility float64 `toml:"late_utility"`
+	Silence     string  `toml:"silence"` // share, open or closed
+	Share       float64 `toml:"share"`   // of the transactions
+}
+
+// Plan is a customer's quotas.
+type Plan struct {
+	Name         string  `toml:"name"`
+	Rate         float64 `toml:"rate"`
+	Burst        float64 `toml:"burst"`
+	Parallel     int     `toml:"parallel"`
+	CeilingRate  float64 `toml:"ceiling_rate"`
+	CeilingBurst float64 `toml:"ceiling_burst"`
+	CeilingSlack float64 `toml:"ceiling_slack"`
+	BeyondEarns  float64 `toml:"beyond_earns"`
+	BeyondCosts  float64 `toml:"beyond_costs"`
+	Share        float64 `toml:"share"` // of the customers
+}
+
+// Kind is what goes wrong.
+type Kind string
+
+// The kinds of fault.
+const (
+	BackendRefuse   Kind = "backend-refuse"   // connections are refused
+	BackendHang     Kind = "backend-hang"     // takes shots and says nothing
+	BackendSlow     Kind = "backend-slow"     // work takes factor times as long
+	BackendReset    Kind = "backend-reset"    // the connection breaks in the middle of an answer
+	BackendGarble   Kind = "backend-garble"   // answers are noise
+	BackendError    Kind = "backend-error"    // answers are errors
+	BackendDrain    Kind = "backend-drain"    // listed as draining; turns new work away
+	BackendVanish   Kind = "backend-vanish"   // dies, is taken off the list, and comes back cold
+	BackendRestart  Kind = "backend-restart"  // dies and comes back cold, listed with its new start
+	CounterRefuse   Kind = "counter-refuse"   // refuses connections
+	CounterHang     Kind = "counter-hang"     // takes calls and answers none until the end
+	CounterSlow     Kind = "counter-slow"     // answers late by delay
+	CounterEmpty    Kind = "counter-empty"    // forgets all numbers, at once
+	CounterCut      Kind = "counter-cut"      // silent towards the doors named
+	DiscoveryStale  Kind = "discovery-stale"  // tells nothing until the end
+	DiscoveryLate   Kind = "discovery-late"   // tells changes late by delay
+	DiscoveryRefuse Kind = "discovery-refuse" // refuses connections; model: as stale
+	DoorRestart     Kind = "door-restart"     // killed, and started anew at the end
+)
+
+// bearing is which parties a kind is about, and whether it needs a factor or a delay.
+var bearing = map[Kind]struct {
+	who, needs string
+	lasts      bool
+}{
+	BackendRefuse: {"backends", "", true}, BackendHang: {"backends", "", true}, BackendSlow: {"backends", "factor", true},
+	BackendReset: {"backends", "", true}, BackendGarble: {"backends", "", true}, BackendError: {"backends", "", true},
+	BackendDrain: {"backends", "", true}, BackendVanish: {"backends", "", true}, BackendRestart: {"backends", "", true},
+	CounterRefuse: {"", "", true}, CounterHang: {"", "", true}, CounterSlow: {"", "delay", true},
+	CounterEmpty: {"", "", false}, CounterCut: {"doors", "", true},
+	DiscoveryStale: {"", "", true}, DiscoveryLate: {"", "delay", true}, DiscoveryRefuse: {"", "", true},
+	DoorRestart: {"doors", "", true},
+}
+
+// Fault is something that goes wrong from At on, For a time.
+type Fault struct {
+	Kind   Kind    `toml:"kind"`
+	At     Span    `toml:"at"`
+	For    Span    `toml:"for"`
+	Who    []int   `toml:"who"`   // numbers of backends or doors, from 0
+	Share  float64 `toml:"share"` // in place of who: of them all, the first ones
+	Factor float64 `toml:"factor"`
+	Delay  Span    `toml:"delay"`
+	Each   Span    `toml:"each"` // between one of them and the next
+}
+
+// usual is a scenario before its file is read: every default stands here.
+func usual() *Scenario {
+	s := &Scenario{On: OnModel, Seed: 1, Duration: 10e9}
+	s.Doors.Count, s.Doors.MemoryMB, s.Doors.Sockets = 2, 64, 512
+	s.Backends.Count, s.Backends.Cores, s.Backends.Work, s.Backends.Queue = 4, 2, 20e6, 64
+	s.Backends.Spread, s.Backends.Zones, s.Backends.Groups = 0.5, 1, 1
+	s.Counter.Delay, s.Counter.Timeout = 500e3, 50e6
+	s.Discovery.Delay, s.Net.Delay = 100e6, 200e3
+	s.Load.Rate, s.Load.Arrivals, s.Load.Most, s.Load.Customers = 100, "poisson", 1e7, 20
+	s.Load.Units, s.Load.Connections = 1, 256
+	s.Rules.Grace, s.Rules.Drain, s.Rules.ColdShare = 100e6, 1e9, 0.2
+	s.Rules.WarmUp, s.Rules.FallMultiple, s.Rules.FallSpan = 9e9, 2, 1e9
+	s.Allow.Shots, s.Allow.SecondCopies, s.Allow.Recalls, s.Allow.Advice = 3, true, true, true
+	s.Allow.LongestAdvice = 1e9
+	return s
+}
+
+// Load reads a scenario file and lays words of the form key=value over it: "doors.count=100".
+func Load(path string, over ...string) (*Scenario, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	return Parse(path, text, over...)
+}
+
+// Parse reads a scenario; name stands for it in messages. Errors name line and key.
+func Parse(name string, text []byte, over ...string) (*Scenario, error) {
+	s := usual()
+	f, err := tomlfile.Read(name, text, s)
+	if err != nil {
+		return nil, err
+	}
+	for _, word := range over {
+		key, value, ok := strings.Cut(word, "=")
+		if !ok {
+			return nil, fmt.Errorf("%q is not of the form key=value", word)
+		}
+		if _, err := strconv.ParseFloat(value, 64); err != nil && value != "true" && value != "false" && !strings.HasPrefix(value, "[") {
+			value = strconv.Quote(value)
+		}
+		if _, err := tomlfile.Read("--set "+word, []byte(key+" = "+value), s); err != nil {
+			return nil, err
+		}
+	}
+	for n := range s.Profiles {
+		p := &s.Profiles[n]
+		p.Share, p.HardLimit = orElse(p.Share, 1), orElse(p.HardLimit, 2*p.Promised)
+	}
+	for n := range s.Plans {
+		s.Plans[n].Share = orElse(s.Plans[n].Share, 1)
+	}
+	if s.Load.Spread == 0 {
+		s.Load.Spread = s.Doors.Count
+	}
+	if err := s.check(f); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+func orElse[T comparable](x, usual T) T {
+	var zero T
+	if x == zero {
+		return usual
+	}
+	return x
+}
+
+// check goes through the values; the first fault met is told.
+func (s *Scenario) check(f *tomlfile.File) error {
+	var fault error
+	must := func(ok bool, key, what string) {
+		if !ok && fault == nil {
+			fault = f.Fault(key, what)
+		}
+	}
+	must(s.Name != "", "name", "is missing")
+	must(s.On == OnModel || s.On == OnSockets, "on", fmt.Sprintf("is %q, not model or sockets", s.On))
+	must(s.Duration > 0 && s.Duration <= 3600e9, "duration", "is not above 0 and at most 1h")
+	for _, x := range []struct {
+		key string
+		n   int
+	}{{"doors.count", s.Doors.Count}, {"backends.count", s.Backends.Count}, {"backends.cores", s.Backends.Cores},
+		{"backends.zones", s.Backends.Zones}, {"backends.groups", s.Backends.Groups}, {"load.customers", s.Load.Customers},
+		{"load.most", s.Load.Most}, {"allow.shots", s.Allow.Shots}, {"load.spread", s.Load.Spread},
+		{"load.connections", s.Load.Connections}} {
+		must(x.n >= 1 && x.n <= 1e8, x.key, "is not at least 1")
+	}
+	must(s.Doors.Count <= 5000, "doors.count", "is above 5000")
+	must(s.Backends.Count <= 50000, "backends.count", "is above 50000")
+	if s.On == OnSockets { // each is a process, or a listener with threads of its own
+		must(s.Doors.Count <= 16, "doors.count", "is above 16, which is most on sockets")
+		must(s.Backends.Count <= 64, "backends.count", "is above 64, which is most on sockets")
+		must(s.Doors.MemoryMB >= 16, "doors.memory_mb", "is below 16")
+		must(s.Doors.Sockets >= 64, "doors.sockets", "is below 64")
+	}
+	must(s.Load.Spread <= s.Doors.Count, "load.spread", "is above doors.count")
+	must(s.Backends.Work > 0, "backends.work", "is not above 0")
+	must(s.Backends.Spread >= 0 && s.Backends.Spread <= 3, "backends.spread", "is not from 0 to 3")
+	must(s.Backends.Queue >= 0, "backends.queue", "is below 0")
+	must(s.Counter.Timeout > 0, "counter.timeout", "is not above 0")
+	must(s.Counter.Rate >= 0, "counter.rate", "is below 0")
+	must(s.Load.Rate > 0 && s.Load.Rate <= 1e6, "load.rate", "is not above 0 and at most 1e6")
+	must(s.Load.Arrivals == "poisson" || s.Load.Arrivals == "fixed", "load.arrivals", "is not poisson or fixed")
+	must(s.Load.Units >= 1 && s.Load.Units <= 1000, "load.units", "is not from 1 to 1000")
+	must(s.Load.Skew >= 0 && s.Load.Skew <= 5, "load.skew", "is not from 0 to 5")
+	must(s.Load.Retries >= 0 && s.Load.Retries <= 20, "load.retries", "is not from 0 to 20")
+	must(s.Rules.ColdShare > 0 && s.Rules.ColdShare <= 1, "rules.cold_share", "is not above 0 and at most 1")
+	must(s.Rules.FallMultiple >= 1, "rules.fall_multiple", "is below 1")
+	must(s.Rules.WarmUp >= 0 && s.Rules.FallSpan > 0, "rules.fall_span", "is not above 0")
+	must(len(s.Profiles) > 0, "profile", "is missing: one at least")
+	must(len(s.Plans) > 0, "plan", "is missing: one at least")
+	names := map[string]bool{}
+	for n, p := range s.Profiles {
+		at := fmt.Sprintf("profile[%d].", n)
+		must(word(p.Name) && !names[p.Name], at+"name", fmt.Sprintf("is %q: not a word of letters, digits and -, or taken", p.Name))
+		names[p.Name] = true
+		must(effects[p.Effect] != "", at+"effect", fmt.Sprintf("is %q, not reissuable, numbered or at-most-once", p.Effect))
+		must(p.Effect != "numbered" || reaches[p.Reach] != "", at+"reach", fmt.Sprintf("is %q, not all, zone or group", p.Reach))
+		must(p.Effect != "numbered" || p.Memory > 0, at+"memory", "is not above 0")
+		must(p.Promised > 0 && p.HardLimit >= p.Promised, at+"promised", "is not above 0 and at most hard_limit")
+		must(slices.Contains([]string{"", "share", "open", "closed"}, p.Silence), at+"silence", fmt.Sprintf("is %q, not share, open or closed", p.Silence))
+		must(p.Share > 0, at+"share", "is not above 0")
+	}
+	names = map[string]bool{}
+	for n, p := range s.Plans {
+		at := fmt.Sprintf("plan[%d].", n)
+		must(word(p.Name) && !names[p.Name], at+"name", fmt.Sprintf("is %q: not a word of letters, digits and -, or taken", p.Name))
+		names[p.Name] = true
+		must(p.Rate >= 0 && p.Burst >= 0 && p.Parallel >= 0 && p.CeilingRate >= 0 && p.CeilingBurst >= 0, at+"rate", "or another figure is below 0")
+		must(p.Rate == 0 || p.Burst > 0, at+"burst", "is not above 0")
+		must(p.Share > 0, at+"share", "is not above 0")
+	}
+	for n, x := range s.Faults {
+		at := fmt.Sprintf("fault[%d].", n)
+		b, known := bearing[x.Kind]
+		must(known, at+"kind", fmt.Sprintf("is %q, which is no kind of fault", x.Kind))
+		must(x.At >= 0 && x.At < s.Duration, at+"at", "is not within the duration")
+		must(!known || !b.lasts || x.For > 0, at+"for", "is not above 0")
+		must(b.needs != "factor" || x.Factor > 0, at+"factor", "is not above 0")
+		must(b.needs != "delay" || x.Delay > 0, at+"delay", "is not above 0")
+		must(x.Share >= 0 && x.Share <= 1, at+"share", "is not from 0 to 1")
+		must(x.Each >= 0, at+"each", "is below 0")
+		count := 0
+		switch b.who {
+		case "backends":
+			count = s.Backends.Count
+		case "doors":
+			count = s.Doors.Count
+		}
+		must(!known || b.who == "" || len(x.Who) > 0 || x.Share > 0, at+"who", "is missing, and so is share")
+		must(!known || b.who != "" || len(x.Who) == 0 && x.Share == 0, at+"who", "means nothing for this kind")
+		for _, w := range x.Who {
+			must(w >= 0 && w < count, at+"who", fmt.Sprintf("names %d of %d %s", w, count, b.who))
+		}
+	}
+	return fault
+}
+
+func word(text string) bool {
+	for _, r := range text {
+		if !(r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z' || r >= '0' && r <= '9' || r == '-') {
+			return false
+		}
+	}
+	return text != ""
+}
+
+// Targets are the backends or doors that a fault is about.
+func (s *Scenario) Targets(x Fault) []int {
+	if len(x.Who) > 0 {
+		return x.Who
+	}
+	count := s.Backends.Count
+	if bearing[x.Kind].who == "doors" {
+		count = s.Doors.Count
+	}
+	all := make([]int, int(math.Ceil(x.Share*float64(count))))
+	for n := range all {
+		all[n] = n
+	}
+	return all
+}
+
+// The settings' words for those of a scenario.
+var (
+	effects = map[string]string{"reissuable": "read_like", "numbered": "idempotency_key", "at-most-once": "non_idempotent"}
+	reaches = map[string]string{"all": "all", "zone": "zone", "group": "cell"}
+)
+
+// Settings are the settings of front door me, in the form that internal/config reads.
+func (s *Scenario) Settings(me int) map[string]any {
+	ms := func(x Span) float64 { return float64(x) / 1e6 }
+	zones := make([]string, s.Backends.Zones)
+	for n := range zones {
+		zones[n] = ZoneName(n)
+	}
+	var lanes, tariffs []map[string]any
+	for _, p := range s.Profiles {
+		l := map[string]any{"name": p.Name, "effect": effects[p.Effect], "goal-time-ms": ms(p.Promised),
+			"deadline-ms": ms(p.HardLimit), "late-worth": p.LateUtility}
+		if p.Effect == "numbered" {
+			l["group"], l["window-ms"] = reaches[p.Reach], ms(p.Memory)
+		}
+		if p.Silence != "" {
+			l["silence"] = p.Silence
+		}
+		lanes = append(lanes, l)
+	}
+	for _, p := range s.Plans {
+		tariffs = append(tariffs, map[string]any{"name": p.Name, "quota-rate": p.Rate, "peak-units": p.Burst,
+			"parallel": p.Parallel, "cap-rate": p.CeilingRate, "ceiling-burst": p.CeilingBurst,
+			"beyond-earns": p.BeyondEarns, "beyond-costs": p.BeyondCosts})
+	}
+	return map[string]any{"me": me, "replicas-of-me": s.Doors.Count, "zones": zones, "my-zone": me % s.Backends.Zones,
+		"discovery": "pushed", "lanes": lanes, "tariffs": tariffs,
+		"family-info": map[string]any{"may-count": !s.Counter.Off, "counter-timeout-ms": ms(s.Counter.Timeout)},
+		"permissions": map[string]any{"send-cap": s.Allow.Shots, "second-copies": s.Allow.SecondCopies,
+			"cancelling": s.Allow.Recalls, "probes": s.Allow.Probes, "retry-after": s.Allow.Advice,
+			"max-retry-after-ms": ms(s.Allow.LongestAdvice)},
+		"invariants": map[string]any{"cold-share": s.Rules.ColdShare, "warm-up-ms": ms(s.Rules.WarmUp),
+			"tip-multiple": s.Rules.FallMultiple, "fall-ms": ms(s.Rules.FallSpan)}}
+}
+
+// Terms are the terms that front door me reads from its settings.
+func (s *Scenario) Terms(me int) (policy.Terms, error) {
+	text, err := json.Marshal(s.Settings(me))
+	if err != nil {
+		return policy.Terms{}, err
+	}
+	return config.Terms(text)
+}
+
+// ZoneName is the name of a zone.
+func ZoneName(n int) string { return fmt.Sprintf("z%d", n) }
+
+// BackendName is a backend's name in discovery.
+func BackendName(n int) string { return fmt.Sprintf("s-%04d", n) }
--- a/policy/state.go
+++ b/policy/state.go
@@ -184,6 +184,9 @@
 	away     float64 // doors' parts between this door's own and the one it lies in
 }
 
+// Breaker tells, for figures, whether calls to the counter are stopped, and else which part of the transactions calls.
+func (g *Gate) Breaker() (open bool, part float64) { return g.fails >= breakAt, g.part }
+
 // dropGone forgets the backends that are gone once nothing is out there: others come under new ids for ever.
 func (g *Gate) dropGone() {
 	g.listed = slices.DeleteFunc(g.listed, func(b *backend) bool {
