Laboratory: model, stand-ins with faults, load tool, rule checker and plots; cobra

Plots and stand-ins are a program of their own (fawnplank-lab), since a front door's memory is bounded. The command line is on cobra.

Planted violations of each rule are found.

--- /dev/null
+++ b/cmd/fawnplank/commands.go
@@ -0,0 +1,98 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"runtime"
+	"syscall"
+
+	"github.com/sirupsen/logrus"
+	"github.com/spf13/cobra"
+)
+
+// root is the command line. Each sub-command only reads its words; the work is in main.go and the packages.
+func root() *cobra.Command {
+	var path, level string
+	c := &cobra.Command{Use: "fawnplank COMMAND", Short: "A quota-keeping gateway for a shared API",
+		SilenceUsage: true, SilenceErrors: true, Args: cobra.ArbitraryArgs,
+		PersistentPreRunE: func(*cobra.Command, []string) error {
+			least, err := logrus.ParseLevel(level)
+			if err != nil {
+				return fmt.Errorf("--log-level: %w", err)
+			}
+			logrus.SetLevel(least)
+			return nil
+		},
+		RunE: func(c *cobra.Command, words []string) error {
+			c.SetOut(os.Stderr)
+			c.Usage()
+			if len(words) > 0 {
+				return fmt.Errorf("unknown command %q", words[0])
+			}
+			return errors.New("one command is needed")
+		}}
+	c.CompletionOptions.DisableDefaultCmd = true
+	c.PersistentFlags().StringVarP(&path, "config", "c", "", "configuration file (default: the one that GW_CONFIG names)")
+	c.PersistentFlags().StringVar(&level, "log-level", "info", "least level of what is logged: error, warning, info or debug")
+	c.AddCommand(&cobra.Command{Use: "serve", Short: "Run a front door until SIGTERM", Args: cobra.NoArgs,
+		Long: `Runs a front door. SIGHUP reads the configuration again, whole or not at all; on SIGTERM the door goes on
+serving for half a second, answers what it has taken, and exits.`,
+		Example: "  fawnplank serve -c config.json\n  GW_CONFIG=config.json fawnplank serve --log-level warning",
+		RunE:    func(*cobra.Command, []string) error { return serve(path) }})
+	c.AddCommand(&cobra.Command{Use: "check", Short: "Read the configuration, and say what is wrong with it", Args: cobra.NoArgs,
+		Example: "  fawnplank check -c config.json",
+		RunE: func(*cobra.Command, []string) error {
+			start, err := read(path)
+			if err != nil {
+				return err
+			}
+			fmt.Printf("%s: in order; %d profiles, %d plans, front door %d of %d\n", start.Name,
+				len(start.Profiles), len(start.Plans), start.Terms.Me, start.Terms.Doors)
+			return nil
+		}})
+	c.AddCommand(migrateCommand(&path))
+	c.AddCommand(&cobra.Command{Use: "version", Short: "Print the version", Args: cobra.NoArgs,
+		Example: "  fawnplank version",
+		Run:     func(*cobra.Command, []string) { fmt.Println("fawnplank", version, runtime.Version()) }})
+	c.AddCommand(&cobra.Command{Use: "lab VERB", Short: "Try designs and faults: run, check, load, report, sweep",
+		Long: `Passes its words on to the laboratory's own program, fawnplank-lab, which lies beside this one: plots and
+stand-ins are no part of a front door, whose memory is bounded.`,
+		Example:            "  fawnplank lab run lab/scenarios/calm.toml\n  fawnplank lab --help",
+		DisableFlagParsing: true,
+		PersistentPreRunE:  func(*cobra.Command, []string) error { return nil },
+		RunE:               func(_ *cobra.Command, words []string) error { return lab(words) }})
+	return c
+}
+
+func migrateCommand(path *string) *cobra.Command {
+	var shape, to string
+	var dry bool
+	c := &cobra.Command{Use: "migrate", Short: "Write the configuration's counterpart for the new shape of deployment",
+		Long: "Writes the counterpart of a configuration for the new shape of deployment, and lists what it lacks (docs/migration.md).",
+		Args: cobra.NoArgs,
+		Example: `  fawnplank migrate -c old.json --shape shape.json --dry-run
+  fawnplank migrate -c old.json --shape shape.json -o new.json`,
+		RunE: func(*cobra.Command, []string) error { return migrate(*path, shape, to, dry) }}
+	c.Flags().StringVar(&shape, "shape", "", "file with the settings of the new deployment, laid over the old ones")
+	c.Flags().StringVarP(&to, "output", "o", "", "file to write, which must not be there yet")
+	c.Flags().BoolVar(&dry, "dry-run", false, "say what would be lacking, and write nothing")
+	return c
+}
+
+// lab becomes the laboratory's program.
+func lab(words []string) error {
+	self, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	program := filepath.Join(filepath.Dir(self), "fawnplank-lab")
+	if _, err := os.Stat(program); err != nil {
+		if program, err = exec.LookPath("fawnplank-lab"); err != nil {
+			return errors.New("lab: fawnplank-lab lies neither beside this program nor on the path: go build -o bin/ ./cmd/...")
+		}
+	}
+	return syscall.Exec(program, append([]string{program}, words...), os.Environ())
+}
--- a/cmd/fawnplank/main.go
+++ b/cmd/fawnplank/main.go
@@ -18,7 +18,6 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
-	"github.com/spf13/pflag"
 	"golang.org/x/sys/unix"
 
 	"fawnplank/internal/admin"
@@ -36,66 +35,13 @@
 // version is the release; a build may set it with -ldflags "-X main.version=...".
 var version = "0.1.0-dev"
 
-const usage = `usage: fawnplank COMMAND [flags]
-
-  serve    run a front door until SIGTERM
-  check    read the configuration, and say what is wrong with it
-  migrate  write the counterpart of the configuration for the new shape of deployment, and list what it lacks
-  version  print the version
-
-Flags:
-`
-
 func main() {
-	if err := run(os.Args[1:]); err != nil {
+	if err := root().Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "fawnplank:", err)
 		os.Exit(1)
 	}
 }
 
-func run(words []string) error {
-	flags := pflag.NewFlagSet("fawnplank", pflag.ContinueOnError)
-	path := flags.StringP("config", "c", "", "configuration file (default: the one that GW_CONFIG names)")
-	level := flags.String("log-level", "info", "least level of what is logged: error, warning, info or debug")
-	shape := flags.String("shape", "", "migrate: file with the settings of the new deployment, laid over the old ones")
-	to := flags.StringP("output", "o", "", "migrate: file to write, which must not be there yet")
-	dry := flags.Bool("dry-run", false, "migrate: say what would be lacking, and write nothing")
-	flags.Usage = func() { fmt.Fprint(os.Stderr, usage+flags.FlagUsages()) }
-	if err := flags.Parse(words); errors.Is(err, pflag.ErrHelp) {
-		return nil
-	} else if err != nil {
-		return err
-	}
-	least, err := logrus.ParseLevel(*level)
-	if err != nil {
-		return fmt.Errorf("--log-level: %w", err)
-	}
-	logrus.SetLevel(least)
-	if flags.NArg() != 1 {
-		flags.Usage()
-		return errors.New("one command is needed")
-	}
-	switch flags.Arg(0) {
-	case "version":
-		fmt.Println("fawnplank", version, runtime.Version())
-		return nil
-	case "check":
-		start, err := read(*path)
-		if err != nil {
-			return err
-		}
-		fmt.Printf("%s: in order; %d profiles, %d plans, front door %d of %d\n", start.Name,
-			len(start.Profiles), len(start.Plans), start.Terms.Me, start.Terms.Doors)
-		return nil
-	case "migrate":
-		return migrate(*path, *shape, *to, *dry)
-	case "serve":
-		return serve(*path)
-	}
-	flags.Usage()
-	return fmt.Errorf("unknown command %q", flags.Arg(0))
-}
-
 // migrate writes the counterpart of a configuration for the new shape, and lists what could not be carried over.
 func migrate(path, shape, to string, dry bool) error {
 	if path == "" || to == "" && !dry {
--- a/internal/lab/model/model.go
+++ b/internal/lab/model/model.go
@@ -39,6 +39,14 @@
 
 // Run plays a scenario to its end, and gives its results.
 func Run(s *scenario.Scenario) (*record.Run, error) {
+	w, err := newWorld(s)
+	if err != nil {
+		return nil, err
+	}
+	return w.play(), nil
+}
+
+func newWorld(s *scenario.Scenario) (*world, error) {
 	terms, err := s.Terms(0)
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w", s.Name, err)
@@ -62,6 +70,12 @@
 	}
 	w.arrivals()
 	w.sample()
+	return w, nil
+}
+
+// play does all that happens, in order.
+func (w *world) play() *record.Run {
+	s := w.s
 	var longest scenario.Span
 	for _, p := range s.Profiles {
 		longest = max(longest, p.HardLimit)
@@ -77,7 +91,7 @@
 		w.events++
 		what()
 	}
-	return w.rec.Finish(end, w.events), nil
+	return w.rec.Finish(end, w.events)
 }
 
 // at does what at a time, or at once after what is being done.
--- /dev/null
+++ b/internal/lab/model/model_test.go
@@ -0,0 +1,216 @@
+package model
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+
+	"fawnplank/internal/lab/record"
+	"fawnplank/internal/lab/rules"
+	"fawnplank/internal/lab/scenario"
+	"fawnplank/policy"
+)
+
+const small = `name = "small"
+duration = "12s"
+[doors]
+count = 4
+[backends]
+count = 6
+cores = 2
+work = "10ms"
+groups = 2
+[load]
+rate = 300
+customers = 30
+skew = 0.5
+retries = 2
+[[profile]]
+name = "calc"
+effect = "reissuable"
+promised = "750ms"
+share = 6
+[[profile]]
+name = "sum"
+effect = "numbered"
+reach = "group"
+memory = "5s"
+promised = "750ms"
+share = 2
+[[profile]]
+name = "file"
+effect = "at-most-once"
+promised = "750ms"
+share = 2
+[[plan]]
+name = "despacho"
+rate = 15
+burst = 30
+ceiling_rate = 30
+ceiling_burst = 60
+`
+
+func parse(t testing.TB, add string, over ...string) *scenario.Scenario {
+	t.Helper()
+	s, err := scenario.Parse("small", []byte(small+add), over...)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+func play(t testing.TB, add string, over ...string) *record.Run {
+	t.Helper()
+	run, err := Run(parse(t, add, over...))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return run
+}
+
+// The same seed gives the same bytes; another one does not.
+func TestARunIsReproducible(t *testing.T) {
+	const trouble = "[[fault]]\nkind = \"door-restart\"\nat = \"4s\"\nfor = \"1s\"\nshare = 1\neach = \"200ms\"\n" +
+		"[[fault]]\nkind = \"backend-vanish\"\nat = \"3s\"\nfor = \"2s\"\nwho = [1]\n"
+	a, _ := play(t, trouble).Bytes()
+	b, _ := play(t, trouble).Bytes()
+	c, _ := play(t, trouble, "seed=2").Bytes()
+	if !bytes.Equal(a, b) {
+		t.Error("two runs of one seed differ")
+	}
+	if bytes.Equal(a, c) {
+		t.Error("another seed gives the same run")
+	}
+}
+
+// Each kind of fault shows in what is recorded, and the real decisions keep the rules through it.
+func TestEveryFaultHappensAndRulesAreKept(t *testing.T) {
+	calm := play(t, "")
+	if calm.Broken() > 0 || calm.Total.Fulfilled < 9*calm.Total.Transactions/10 || calm.Total.Failed > 0 {
+		t.Fatalf("calm: %+v %v", calm.Total, calm.Findings)
+	}
+	grown := func(of func(record.Total) float64, by float64) func(r *record.Run) bool {
+		return func(r *record.Run) bool { return of(r.Total) >= of(calm.Total)+by }
+	}
+	shots := func(t record.Total) float64 { return float64(t.Shots) }
+	unfulfilled := func(t record.Total) float64 { return float64(t.Transactions - t.Fulfilled) }
+	failed := func(t record.Total) float64 { return float64(t.Failed) }
+	same := func(r *record.Run) bool { return r.Total.Fulfilled >= calm.Total.Fulfilled*95/100 }
+	for _, x := range []struct {
+		kind scenario.Kind
+		more string
+		show func(r *record.Run) bool
+	}{
+		{scenario.BackendRefuse, "share = 1", grown(unfulfilled, 200)},
+		{scenario.BackendHang, "share = 1", grown(unfulfilled, 200)},
+		{scenario.BackendSlow, "share = 1\nfactor = 20", grown(func(t record.Total) float64 { return t.P99 }, 100)},
+		{scenario.BackendReset, "share = 1", grown(unfulfilled, 200)},
+		{scenario.BackendGarble, "share = 1", grown(unfulfilled, 200)},
+		{scenario.BackendError, "share = 1", grown(unfulfilled, 200)},
+		{scenario.BackendDrain, "share = 1", grown(unfulfilled, 200)},
+		{scenario.BackendVanish, "share = 1", grown(unfulfilled, 200)},
+		{scenario.BackendRestart, "share = 1", grown(unfulfilled, 200)},
+		{scenario.BackendReset, "who = [2]", grown(shots, 3)},
+		{scenario.CounterRefuse, "", grown(failed, 5)},
+		{scenario.CounterHang, "", grown(failed, 5)},
+		{scenario.CounterSlow, "delay = \"200ms\"", grown(failed, 5)},
+		{scenario.CounterCut, "who = [0, 2]", grown(failed, 5)},
+		{scenario.DiscoveryStale, "", same},
+		{scenario.DiscoveryRefuse, "", same},
+		{scenario.DiscoveryLate, "delay = \"1s\"", same},
+		{scenario.DoorRestart, "share = 1", grown(func(t record.Total) float64 { return float64(t.Left + t.Unsent) }, 100)},
+	} {
+		run := play(t, fmt.Sprintf("[[fault]]\nkind = %q\nat = \"4s\"\nfor = \"3s\"\n%s\n", x.kind, x.more))
+		if !x.show(run) {
+			t.Errorf("%s: does not show: %+v", x.kind, run.Total)
+		}
+		for _, f := range run.Findings {
+			t.Errorf("%s: rule %d: %s", x.kind, f.Rule, f.What)
+		}
+	}
+	// What a counter forgets, customers far beyond their quotas have again, until the doors put it right.
+	const empty = "[[fault]]\nkind = \"counter-empty\"\nat = \"6s\"\n"
+	if with, without := play(t, empty, "load.rate=2000"), play(t, "", "load.rate=2000"); with.Total.Over <= without.Total.Over {
+		t.Errorf("an emptied counter does not show: %.0f units beyond, %.0f without", with.Total.Over, without.Total.Over)
+	}
+}
+
+// A late list is obeyed late: a withdrawn backend is sent to until the doors are told.
+func TestDiscoveryTellsLate(t *testing.T) {
+	told := func(add string) int {
+		run := play(t, "[[fault]]\nkind = \"backend-vanish\"\nat = \"4s\"\nfor = \"6s\"\nshare = 0.5\n"+add)
+		if run.Broken() > 0 {
+			t.Error(run.Findings[0])
+		}
+		return run.Total.Fulfilled
+	}
+	if soon, late := told(""), told("[[fault]]\nkind = \"discovery-stale\"\nat = \"3s\"\nfor = \"7s\"\n"); late > soon {
+		t.Errorf("fulfilled %d with the list in time, %d with a stale one", soon, late)
+	}
+}
+
+// The checker finds a rule that the model is made to break: it does not pass whatever happens.
+func TestAPlantedViolationIsFound(t *testing.T) {
+	for rule, plant := range map[string]func(w *world, d *door){
+		"1": func(w *world, d *door) { // an answer is swallowed
+			for _, id := range keys(d.open) {
+				d.open[id].ended = true
+				return
+			}
+		},
+		"2": func(w *world, d *door) { // a shot that must not be sent
+			for _, id := range keys(d.open) {
+				if t := d.open[id]; w.s.Profiles[t.Profile].Effect == "at-most-once" && len(t.shots) > 0 && !t.ended {
+					d.Shoot(id, 1, 0)
+					return
+				}
+			}
+		},
+		"3": func(w *world, d *door) { // sends go to a backend that drains
+			w.rec.See(rules.Event{At: w.now, Kind: rules.Told, Door: d.n, Backend: 0, Stage: policy.Draining})
+		},
+	} {
+		s := parse(t, "")
+		planted := hooked(s, 5e9, func(w *world) {
+			for n := range 50 { // some moment finds a transaction open
+				w.at(w.now+int64(n)*7e6, func() { plant(w, w.doors[0]) })
+			}
+		})
+		if planted.Rules[rule] == 0 {
+			t.Errorf("rule %s: a planted violation was not found", rule)
+		}
+	}
+}
+
+func keys(m map[policy.TransactionID]*try) []policy.TransactionID {
+	var all []policy.TransactionID
+	for id := range m {
+		all = append(all, id)
+	}
+	return all
+}
+
+// hooked plays a scenario in which something is done at a time.
+func hooked(s *scenario.Scenario, at int64, do func(w *world)) *record.Run {
+	w, err := newWorld(s)
+	if err != nil {
+		panic(err)
+	}
+	w.at(at, func() { do(w) })
+	return w.play()
+}
+
+// BenchmarkModel tells events a second at a size that a machine's sockets don't reach.
+func BenchmarkModel(b *testing.B) {
+	for _, size := range []struct{ doors, backends int }{{10, 10}, {100, 100}, {100, 1000}} {
+		b.Run(fmt.Sprintf("%dx%d", size.doors, size.backends), func(b *testing.B) {
+			var events uint64
+			for b.Loop() {
+				run := play(b, "", fmt.Sprintf("doors.count=%d", size.doors), fmt.Sprintf("backends.count=%d", size.backends),
+					fmt.Sprintf("load.rate=%d", 50*size.doors), "duration=2s")
+				events += run.Events
+			}
+			b.ReportMetric(float64(events)/b.Elapsed().Seconds(), "events/s")
+		})
+	}
+}
--- a/internal/lab/plots/plots.go
+++ b/internal/lab/plots/plots.go
@@ -31,7 +31,7 @@
 	red    = color.RGBA{213, 94, 0, 255}
 	blue   = color.RGBA{0, 114, 178, 255}
 	purple = color.RGBA{204, 121, 167, 255}
-	shade  = color.RGBA{120, 120, 120, 40}
+	shade  = color.NRGBA{120, 120, 120, 45}
 )
 
 // curve is one line of a panel.
@@ -101,7 +101,7 @@
 				}
 			}
 		}
-		top = math.Max(top*1.05, 1)
+		top = math.Max(top*1.3, 1) // room for the legend
 		for _, run := range runs {
 			plt := plot.New()
 			plt.Title.Text = title(run) + ": " + p.title
@@ -308,6 +308,8 @@
 			plt.Legend.Add(name, line)
 		}
 		plt.Legend.Top = true
+		plt.Y.Max *= 1.3 // room for the legend
+		plt.X.Min, plt.X.Max = -0.3, float64(len(runs))-0.7
 		grid = append(grid, []*plot.Plot{plt})
 	}
 	all := plot.Align(grid, draw.Tiles{Rows: len(grid), Cols: 1, PadY: vg.Points(10), PadRight: vg.Points(10)}, draw.New(c))
--- /dev/null
+++ b/internal/lab/rig/rig_test.go
@@ -0,0 +1,180 @@
+package rig
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"fawnplank/internal/lab/load"
+	"fawnplank/internal/lab/record"
+	"fawnplank/internal/lab/scenario"
+)
+
+var program string
+
+// TestMain builds the front door once: the doors of these tests are its processes.
+func TestMain(m *testing.M) {
+	folder, err := os.MkdirTemp("", "fawnplank-rig-")
+	if err == nil {
+		program = filepath.Join(folder, "fawnplank")
+		build := exec.Command("go", "build", "-o", program, "fawnplank/cmd/fawnplank")
+		build.Stderr = os.Stderr
+		err = build.Run()
+	}
+	code := 1
+	if err == nil {
+		code = m.Run()
+	} else {
+		fmt.Fprintln(os.Stderr, err)
+	}
+	os.RemoveAll(folder)
+	os.Exit(code)
+}
+
+const small = `name = "small"
+on = "sockets"
+duration = "3s"
+[doors]
+count = 2
+[backends]
+count = 3
+cores = 4
+work = "4ms"
+groups = 3
+[load]
+rate = 80
+customers = 10
+retries = 1
+[[profile]]
+name = "calc"
+effect = "reissuable"
+promised = "400ms"
+hard_limit = "800ms"
+share = 4
+[[profile]]
+name = "file"
+effect = "at-most-once"
+promised = "400ms"
+hard_limit = "800ms"
+[[plan]]
+name = "despacho"
+rate = 30
+burst = 60
+[discovery]
+delay = "20ms"
+`
+
+func play(t *testing.T, add string) *record.Run {
+	t.Helper()
+	s, err := scenario.Parse("small", []byte(small+add))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	run, err := Run(ctx, s, Options{Door: []string{program}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, f := range run.Findings {
+		t.Errorf("rule %d: %s", f.Rule, f.What)
+	}
+	return run
+}
+
+// Each fault of the stand-ins meets real front doors: what their clients get is what the fault leaves, and the
+// five rules hold, as seen from clients and backends.
+func TestFrontDoorsThroughEveryFault(t *testing.T) {
+	served := func(least float64) func(r record.Total) bool {
+		return func(r record.Total) bool { return float64(r.Fulfilled) >= least*float64(r.Transactions) }
+	}
+	between := func(least, most float64) func(r record.Total) bool {
+		return func(r record.Total) bool {
+			share := float64(r.Fulfilled) / float64(r.Transactions)
+			return share >= least && share <= most
+		}
+	}
+	for _, x := range []struct {
+		kind scenario.Kind
+		more string
+		want func(r record.Total) bool
+	}{
+		{"", "", served(0.99)},
+		{scenario.BackendRefuse, "who = [0]", served(0.97)},
+		{scenario.BackendRefuse, "share = 1", between(0.3, 0.85)},
+		{scenario.BackendHang, "who = [0]", served(0.95)},
+		{scenario.BackendSlow, "who = [0]\nfactor = 20", served(0.95)},
+		{scenario.BackendReset, "share = 1", between(0.3, 0.85)},
+		{scenario.BackendGarble, "share = 1", between(0.3, 0.85)},
+		{scenario.BackendError, "share = 1", between(0.3, 0.85)},
+		{scenario.BackendDrain, "who = [0, 1]", served(0.97)},
+		{scenario.BackendVanish, "who = [1]", served(0.9)},
+		{scenario.BackendRestart, "who = [1]", served(0.9)},
+		{scenario.CounterRefuse, "", served(0.95)},
+		{scenario.CounterHang, "", served(0.95)},
+		{scenario.CounterSlow, "delay = \"300ms\"", served(0.95)},
+		{scenario.CounterCut, "who = [0]", served(0.95)},
+		{scenario.DiscoveryStale, "", served(0.99)},
+		{scenario.DiscoveryRefuse, "", served(0.99)},
+		{scenario.DoorRestart, "who = [1]", func(r record.Total) bool { return served(0.7)(r) && r.Left+r.Unsent+r.Asked-r.Transactions > 0 }},
+	} {
+		t.Run(string(x.kind)+x.more, func(t *testing.T) {
+			t.Parallel()
+			add := ""
+			if x.kind != "" {
+				add = fmt.Sprintf("[[fault]]\nkind = %q\nat = \"1s\"\nfor = \"1s\"\n%s\n", x.kind, x.more)
+			}
+			if run := play(t, add); !x.want(run.Total) {
+				t.Errorf("%+v", run.Total)
+			}
+		})
+	}
+}
+
+// A door that does not come up, or dies by itself, ends the run with what it said last.
+func TestDoorsThatFail(t *testing.T) {
+	s, err := scenario.Parse("small", []byte(small))
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, err = Run(context.Background(), s, Options{Door: []string{"/bin/sh", "-c", "echo out of sorts; exit 3"}})
+	if err == nil || !strings.Contains(err.Error(), "front door 0 ended: out of sorts") {
+		t.Error(err)
+	}
+	_, err = Run(context.Background(), s, Options{Door: []string{filepath.Join(t.TempDir(), "none")}})
+	if err == nil || !strings.Contains(err.Error(), "front door 0") {
+		t.Error(err)
+	}
+	crashes := []string{"/bin/sh", "-c", `exec timeout -s KILL 1.5 "$0" "$@"`, program}
+	_, err = Run(context.Background(), s, Options{Door: crashes})
+	if err == nil || !strings.Contains(err.Error(), "crashed") {
+		t.Error(err)
+	}
+}
+
+// The load tool on its own: every try is due at its time and answered; a door that is not there is told apart.
+func TestLoadToolAlone(t *testing.T) {
+	s, err := scenario.Parse("small", []byte(small), "doors.count=1", "load.spread=1", "load.rate=400", "duration=1s", "load.retries=0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	terms, _ := s.Terms(0)
+	for address, fulfilled := range map[string]bool{nullDoor(t): true, "127.0.0.1:1": false} {
+		log := record.NewLog(record.New(s, terms, 0))
+		log.Begin()
+		tool := load.New(s, log, []string{address})
+		tool.Run(nil)
+		run := log.Finish()
+		if n := run.Total.Transactions + run.Total.Unsent; n < 300 || n > 500 {
+			t.Errorf("%d transactions", n)
+		}
+		if (run.Total.Fulfilled == run.Total.Transactions && run.Total.Unsent == 0) != fulfilled || run.Broken() > 0 {
+			t.Errorf("%s: %+v", address, run.Total)
+		}
+	}
+}
--- a/internal/lab/rules/rules.go
+++ b/internal/lab/rules/rules.go
@@ -170,7 +170,7 @@
 		}
 	case Sent:
 		if t.ended > 0 && e.At > t.ended {
-			c.find(1, e.At, "try %d: sent to backend %d %s after its final answer", e.Try, e.Backend, ms(e.At-t.ended))
+			c.find(1, e.At, "try %d: sent to backend %d %s after its final answer", e.Try, e.Backend, inMs(e.At-t.ended))
 		}
 	case Arrived:
 		c.arrived(t, e)
@@ -184,7 +184,7 @@
 	}
 }
 
-func ms(ns int64) string { return fmt.Sprintf("%.1f ms", float64(ns)/1e6) }
+func inMs(ns int64) string { return fmt.Sprintf("%.1f ms", float64(ns)/1e6) }
 
 func (c *Checker) answered(t *try, e Event) {
 	if t.ended > 0 {
@@ -192,7 +192,7 @@
 		return
 	}
 	if over := e.At - t.Limit - c.terms.Grace; t.owed && over > 0 {
-		c.find(1, e.At, "try %d: answered %s after its time and grace", e.Try, ms(over))
+		c.find(1, e.At, "try %d: answered %s after its time and grace", e.Try, inMs(over))
 	}
 	t.ended, t.owed = e.At, false
 	if t.retired == 0 { // not if its client had left: it stands in the order already
@@ -220,7 +220,7 @@
 
 func (c *Checker) arrived(t *try, e Event) {
 	if t.ended > 0 && e.At > t.ended+c.terms.Slack {
-		c.find(1, e.At, "try %d: came to backend %d %s after its final answer", e.Try, e.Backend, ms(e.At-t.ended))
+		c.find(1, e.At, "try %d: came to backend %d %s after its final answer", e.Try, e.Backend, inMs(e.At-t.ended))
 	}
 	p := c.terms.Profiles[t.Profile]
 	for _, s := range t.shots {
@@ -234,7 +234,7 @@
 			p.Reach == policy.ReachGroup && c.terms.Group(s.backend) != c.terms.Group(e.Backend)):
 			c.find(2, e.At, "try %d: came to backend %d, outside the group of %d where it may have run", e.Try, e.Backend, s.backend)
 		case p.Effect == policy.Numbered && e.At-s.at > p.Memory+c.terms.Slack:
-			c.find(2, e.At, "try %d: came to backend %d %s after its first shot, beyond the memory", e.Try, e.Backend, ms(e.At-s.at))
+			c.find(2, e.At, "try %d: came to backend %d %s after its first shot, beyond the memory", e.Try, e.Backend, inMs(e.At-s.at))
 		}
 	}
 	t.shots = append(t.shots, arrival{backend: e.Backend, at: e.At})
@@ -242,7 +242,7 @@
 	if told.Kind == Told && told.Stage != policy.Ready {
 		if over := e.At - told.At - c.terms.Drain - c.terms.Slack; over > 0 {
 			c.find(3, e.At, "try %d: door %d sent to backend %d %s after the grace of hearing that it drains or is gone",
-				e.Try, t.Door, e.Backend, ms(over))
+				e.Try, t.Door, e.Backend, inMs(over))
 		}
 	}
 	c.push(t, e, told)
@@ -276,7 +276,7 @@
 	if work > bears+3*largest && c.felled[e.Backend] != e.Started {
 		c.felled[e.Backend] = e.Started
 		c.find(4, e.At, "backend %d, started %s ago, was sent %.3f s of work in %s and bears %.3f s", e.Backend,
-			ms(e.At-e.Started), work, ms(c.terms.FallSpan), bears)
+			inMs(e.At-e.Started), work, inMs(c.terms.FallSpan), bears)
 	}
 }
 
