Doors' parts of a customer unbiased; store carried over an outage; limit commands (in work)

Need: a counter lost for a minute left customers up to 6% beyond their quotas at three entry points and 12% more in the twenty seconds after it (lab, counter-minute).

Cause: a door took its part from answers between a window's first and last, where few lie: for a half too large with two a window; what was known before an outage was checked through it; an emptied counter gave fresh stores.

Change: own answers weighted by 1-2/(n(n+1)), memory over all doors' units; behind an open breaker the share alone decides, and at a turn what it holds stands for its part of the store. The drift is now measured per customer against one honest counter. Also, not yet tested: limit commands in RESP (internal/limitd), RESP towards the counter, operator file.

--- a/cmd/drill/host.go
+++ b/cmd/drill/host.go
@@ -63,6 +63,7 @@
 	d.record(actError).U64(uint64(t))
 	d.ended(t)
 }
+func (d *door) Grant(policy.TransactionID) {} // the wire has no profile that only counts
 
 // ended lets go of a handle that ended with no shot out, by the counter's answer or a timer.
 func (d *door) ended(t policy.TransactionID) {
--- a/cmd/fawnplank/commands.go
+++ b/cmd/fawnplank/commands.go
@@ -11,11 +11,13 @@
 
 	"github.com/sirupsen/logrus"
 	"github.com/spf13/cobra"
+
+	"fawnplank/internal/config"
 )
 
 // root is the command line. Each sub-command only reads its words; the work is in main.go and the packages.
 func root() *cobra.Command {
-	var path, level string
+	var path, operator, level string
 	c := &cobra.Command{Use: "fawnplank COMMAND", Short: "A quota-keeping gateway for a shared API",
 		SilenceUsage: true, SilenceErrors: true, Args: cobra.ArbitraryArgs,
 		PersistentPreRunE: func(*cobra.Command, []string) error {
@@ -36,16 +38,27 @@
 		}}
 	c.CompletionOptions.DisableDefaultCmd = true
 	c.PersistentFlags().StringVarP(&path, "config", "c", "", "configuration file (default: the one that GW_CONFIG names)")
+	c.PersistentFlags().StringVar(&operator, "operator", os.Getenv("GW_OPERATOR"), "operator file, TOML (default: the one that GW_OPERATOR names, or none)")
 	c.PersistentFlags().StringVar(&level, "log-level", "info", "least level of what is logged: error, warning, info or debug")
 	c.AddCommand(&cobra.Command{Use: "serve", Short: "Run a front door until SIGTERM", Args: cobra.NoArgs,
 		Long: `Runs a front door. SIGHUP reads the configuration again, whole or not at all; on SIGTERM the door goes on
 serving for half a second, answers what it has taken, and exits.`,
 		Example: "  fawnplank serve -c config.json\n  GW_CONFIG=config.json fawnplank serve --log-level warning",
-		RunE:    func(*cobra.Command, []string) error { return serve(path) }})
-	c.AddCommand(&cobra.Command{Use: "check", Short: "Read the configuration, and say what is wrong with it", Args: cobra.NoArgs,
-		Example: "  fawnplank check -c config.json",
-		RunE: func(*cobra.Command, []string) error {
-			start, err := read(path)
+		RunE:    func(*cobra.Command, []string) error { return serve(path, operator) }})
+	c.AddCommand(&cobra.Command{Use: "check [FILE]", Short: "Read the configuration, or an operator file, and say what is wrong with it",
+		Long: `Reads what serve would read, by the same code, and says what is wrong: the configuration with its key, the operator
+file with file, line and key. With FILE, an operator file alone is read. Ends with status 1 if anything is wrong.`,
+		Args:    cobra.MaximumNArgs(1),
+		Example: "  fawnplank check -c config.json\n  fawnplank check -c config.json --operator deploy/fawnplank.toml\n  fawnplank check deploy/fawnplank.toml",
+		RunE: func(_ *cobra.Command, words []string) error {
+			if len(words) == 1 {
+				if _, err := config.ReadOperator(words[0]); err != nil {
+					return err
+				}
+				fmt.Printf("%s: in order\n", words[0])
+				return nil
+			}
+			start, _, err := read(path, operator)
 			if err != nil {
 				return err
 			}
--- /dev/null
+++ b/cmd/fawnplank/limits.go
@@ -0,0 +1,65 @@
+package main
+
+import (
+	"net"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"fawnplank/internal/config"
+	"fawnplank/internal/facade"
+	"fawnplank/internal/limitd"
+	"fawnplank/internal/metrics"
+)
+
+// limits is the server of limit commands; a nil one is off.
+type limits struct{ *limitd.Server }
+
+// serveLimits starts it, where the operator file names an address.
+func serveLimits(f *facade.Facade, figures *metrics.Figures, start *config.Start, set *config.Operator) (*limits, error) {
+	if set.Limits.Listen == "" {
+		return nil, nil
+	}
+	l, err := net.Listen("tcp", set.Limits.Listen)
+	if err != nil {
+		return nil, err
+	}
+	s := limitd.New(f, limitNames(start, set), set.Limits.Connections)
+	counts := func(n int) func() float64 {
+		return func() float64 {
+			granted, refused, faulty := s.Counts()
+			return float64([]uint64{granted, refused, faulty}[n])
+		}
+	}
+	figures.Watch(map[string]metrics.Watched{
+		"limit_checks_granted": {Help: "limit checks that found room", Value: counts(0)},
+		"limit_checks_refused": {Help: "limit checks that found none", Value: counts(1)},
+		"limit_faults":         {Help: "limit commands answered with an error", Value: counts(2)}})
+	go func() {
+		if err := s.Serve(l); err != nil {
+			logrus.Errorf("limit commands: %v", err)
+		}
+	}()
+	logrus.Infof("%s: limit commands at %s", start.Name, l.Addr())
+	return &limits{s}, nil
+}
+
+func limitNames(start *config.Start, set *config.Operator) limitd.Names {
+	id, _ := start.LimitProfile()
+	return limitd.Names{Profile: id, Within: time.Duration(set.Limits.Within), Plans: start.Plans, Doors: start.Terms.Doors,
+		MostUnits: start.MostUnits}
+}
+
+// Retune takes the plans of a configuration read anew.
+func (l *limits) Retune(names limitd.Names) {
+	if l != nil {
+		l.Server.Retune(names)
+	}
+}
+
+// Close ends it.
+func (l *limits) Close() {
+	if l != nil {
+		l.Server.Close()
+	}
+}
--- a/cmd/fawnplank/main.go
+++ b/cmd/fawnplank/main.go
@@ -62,20 +62,28 @@
 	return nil
 }
 
-// read reads the configuration and checks it whole.
-func read(path string) (*config.Start, error) {
+// read reads the configuration and the operator file, and checks them whole.
+func read(path, operator string) (*config.Start, *config.Operator, error) {
 	start, err := config.Read(path)
 	if err == nil {
 		err = discovery.Check(start.Known)
 	}
-	return start, err
+	if err != nil {
+		return nil, nil, err
+	}
+	o, err := config.ReadOperator(operator)
+	if err != nil {
+		return nil, nil, err
+	}
+	start.AddLimits(o)
+	return start, o, nil
 }
 
 // serve runs a front door until it is told to stop.
-func serve(path string) error {
+func serve(path, operator string) error {
 	told := make(chan os.Signal, 8) // from here on, since SIGHUP would end the program otherwise
 	signal.Notify(told, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
-	start, err := read(path)
+	start, set, err := read(path, operator)
 	if err != nil {
 		return err
 	}
@@ -95,6 +103,10 @@
 	f, figures := facade.New(), metrics.New(classes(start))
 	pool := backend.New(part, time.Duration(start.ConnectTimeout), time.Duration(start.IdleConnection), f.Probed)
 	count := counter.New(f, start.Counter, time.Duration(start.ConnectTimeout))
+	if set.Counter.Protocol == "resp" {
+		count.Format = counter.RESP
+	}
+	figures.Watch(outages(f, count))
 	list := discovery.New(f, pool, start)
 	pool.Figures, list.Figures = figures, figures
 	// Large values of clients and of backends each hold at most a sixth of the memory; what waits for room is
@@ -116,6 +128,10 @@
 	}
 	server := front.New(f, pool, start, part)
 	server.Figures, server.Room = figures, room.New(start.MemoryBytes/6)
+	limits, err := serveLimits(f, figures, start, set)
+	if err != nil {
+		return fmt.Errorf("operator file: limits.listen: %w", err)
+	}
 	served, stopped := make(chan error, 1), make(chan struct{})
 	go func() { served <- server.Serve(listener) }()
 	d := &door{server: server, figures: figures}
@@ -145,10 +161,11 @@
 			return nil
 		case s := <-told: // one at a time: a further one waits
 			if s == syscall.SIGHUP {
-				fresh := reload(path, start, count, list)
+				fresh := reload(path, operator, start, set, count, list)
 				if figures.Reloaded(fresh != nil); fresh != nil {
 					f.Retune(fresh.Terms)
 					server.Retune(fresh)
+					limits.Retune(limitNames(fresh, set))
 					figures.Classes(classes(fresh))
 					start = fresh
 				}
@@ -157,6 +174,7 @@
 				d.ready.Store(false)
 				go func() {
 					stop(server, listener, start.Terms)
+					limits.Close()
 					close(stopped)
 				}()
 			}
@@ -201,12 +219,18 @@
 // reload reads the configuration anew and goes on to the addresses that it names, and to its settings: the
 // configuration to go on with, with the ids of profiles and plans that follow start's. Where the new one is
 // faulty nothing changes, and it gives nil; listen, mgmt, limits and seed wait for a restart.
-func reload(path string, start *config.Start, count *counter.Client, list *discovery.Client) *config.Start {
-	fresh, err := read(path)
+func reload(path, operator string, start *config.Start, set *config.Operator, count *counter.Client, list *discovery.Client) *config.Start {
+	fresh, now, err := read(path, operator)
 	if err != nil {
 		logrus.Errorf("not reloaded, the old configuration stays: %v", err)
 		return nil
 	}
+	if *now != *set {
+		logrus.Warnf("%s: changes of the operator file take effect at a restart", start.Name)
+		if _, on := start.LimitProfile(); on && now.Limits.Listen == "" {
+			fresh.AddLimits(set)
+		}
+	}
 	fresh.Follow(start)
 	count.Move(fresh.Counter)
 	list.Move(fresh.Discovery)
@@ -252,3 +276,26 @@
 	}
 	logrus.Info("stopped")
 }
+
+// outages are the figures on the counter: what it answered, and how far the door may be from one count.
+func outages(f *facade.Facade, count *counter.Client) map[string]metrics.Watched {
+	of := func(value func(policy.Outages) float64) func() float64 {
+		return func() float64 { return value(f.Outages()) }
+	}
+	return map[string]metrics.Watched{
+		"counter_calls":          {Help: "calls that the counter answered with a total", Value: func() float64 { n, _, _ := count.Figures(); return float64(n) }},
+		"counter_failures":       {Help: "calls without a total", Value: func() float64 { _, n, _ := count.Figures(); return float64(n) }},
+		"counter_outage_seconds": {Help: "since the first failure after the last total; 0: none", Value: func() float64 { _, _, d := count.Figures(); return d.Seconds() }},
+		"counter_breaker_open": {Help: "1 while calls to the counter are stopped", Value: of(func(o policy.Outages) float64 {
+			if o.Open {
+				return 1
+			}
+			return 0
+		})},
+		"counter_calling_share":  {Help: "part of the transactions that call the counter", Value: of(func(o policy.Outages) float64 { return o.Calling })},
+		"quota_owed_units":       {Help: "units let in and not told to the counter yet", Value: of(func(o policy.Outages) float64 { return o.Owed })},
+		"quota_reconciled_units": {Help: "units put right on the counter's numbers, of customers remembered", Value: of(func(o policy.Outages) float64 { return o.Righted })},
+		"quota_drift_units":      {Help: "units that this door may be apart from one count", Value: of(func(o policy.Outages) float64 { return o.Drift })},
+		"customers":              {Help: "customers remembered", Value: of(func(o policy.Outages) float64 { return float64(o.Customers) })},
+	}
+}
--- /dev/null
+++ b/internal/config/operator.go
@@ -0,0 +1,99 @@
+package config
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"time"
+
+	"fawnplank/internal/tomlfile"
+	"fawnplank/policy"
+)
+
+// Operator is what the operators of one installation set beside the platform's configuration, in a TOML file of
+// their own (deploy/fawnplank.toml). Everything in it is off unless it is set. The zero value sets nothing.
+type Operator struct {
+	Limits  Limits        `toml:"limits"`
+	Counter CounterFormat `toml:"counter"`
+}
+
+// Limits are the limit commands in RESP.
+type Limits struct {
+	Listen      string   `toml:"listen"`        // where tools connect; empty: off
+	Within      Duration `toml:"answer_within"` // for an answer
+	Connections int      `toml:"connections"`   // at most
+}
+
+// CounterFormat is how the counter is spoken to.
+type CounterFormat struct {
+	Protocol string `toml:"protocol"` // "text", the platform's own, or "resp"
+}
+
+// Duration is a time in nanoseconds, written as Go writes them.
+type Duration int64
+
+// UnmarshalText reads a time.
+func (d *Duration) UnmarshalText(text []byte) error {
+	x, err := time.ParseDuration(string(text))
+	if err != nil {
+		return fmt.Errorf("%q is no time such as 750ms", text)
+	}
+	*d = Duration(x)
+	return nil
+}
+
+// Defaults of the operator file.
+const (
+	defaultWithin      = Duration(750e6) // the promised time that users know
+	defaultConnections = 64              // tools, not customers
+)
+
+// ReadOperator reads an operator file whole and checks it; an empty path sets nothing. Errors name file, line and
+// key.
+func ReadOperator(path string) (*Operator, error) {
+	o := &Operator{Limits: Limits{Within: defaultWithin, Connections: defaultConnections}, Counter: CounterFormat{"text"}}
+	if path == "" {
+		return o, nil
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("operator file: %w", err)
+	}
+	f, err := tomlfile.Read(path, text, o)
+	if err != nil {
+		return nil, err
+	}
+	if _, port, err := net.SplitHostPort(o.Limits.Listen); o.Limits.Listen != "" && (err != nil || port == "") {
+		return nil, f.Fault("limits.listen", fmt.Sprintf("is %q, which is no host and port", o.Limits.Listen))
+	}
+	if o.Limits.Within < 1e6 || o.Limits.Within > 60e9 {
+		return nil, f.Fault("limits.answer_within", "is not from 1ms to 60s")
+	}
+	if o.Limits.Connections < 1 || o.Limits.Connections > 10000 {
+		return nil, f.Fault("limits.connections", "is not from 1 to 10000")
+	}
+	if o.Counter.Protocol != "text" && o.Counter.Protocol != "resp" {
+		return nil, f.Fault("counter.protocol", fmt.Sprintf("is %q, not text or resp", o.Counter.Protocol))
+	}
+	return o, nil
+}
+
+// limitProfile is the name of the profile that only counts. No class of the platform's settings can take it: theirs
+// have no point in their names.
+const limitProfile = "limit.check"
+
+// AddLimits adds the profile that only counts, for the limit commands, to a configuration just read.
+func (s *Start) AddLimits(o *Operator) {
+	if o.Limits.Listen == "" {
+		return
+	}
+	s.Profiles[limitProfile] = policy.ProfileID(len(s.Terms.Profiles))
+	within := int64(o.Limits.Within)
+	s.Terms.Profiles = append(s.Terms.Profiles, policy.ProfileTerms{Promised: within, HardLimit: within, CountsOnly: true})
+}
+
+// LimitProfile is the profile that only counts; ok is false where limit commands are off.
+func (s *Start) LimitProfile() (id policy.ProfileID, ok bool) {
+	id, ok = s.Profiles[limitProfile]
+	return id, ok
+}
--- a/internal/counter/counter.go
+++ b/internal/counter/counter.go
@@ -38,6 +38,7 @@
 
 // Client calls the counter.
 type Client struct {
+	Format  Format // set before the first call
 	told    Told
 	patient time.Duration // for a connection to come up
 	mu      sync.Mutex
@@ -45,7 +46,21 @@
 	lines   []*line // to the address
 	old     []*line // to earlier addresses, with calls out
 	names   map[policy.CountID]*queue
-	unsent  []*line // bumped since the last flush
+	unsent  []*line   // bumped since the last flush
+	good    uint64    // calls answered with a total
+	bad     uint64    // and those not
+	failed  time.Time // the first failure since the last total; zero: none
+}
+
+// Figures tell how many calls were answered with a total and how many not, and for how long there has been no total
+// while calls failed: the outage, 0 when there is none.
+func (c *Client) Figures() (good, bad uint64, outage time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.failed.IsZero() {
+		outage = time.Since(c.failed)
+	}
+	return c.good, c.bad, outage
 }
 
 // New makes a client; a connection is opened when it is first needed.
@@ -89,6 +104,7 @@
 	writing bool       // somebody is at it
 	old     bool       // the counter has moved: no further calls
 	gone    bool
+	half    reply // RESP: the first of the two replies of the oldest call
 }
 
 type call struct {
@@ -120,13 +136,7 @@
 		q.line = c.pick()
 	}
 	l, k := q.line, &call{name: name, at: now}
-	l.buf = append(l.buf, "bump "...)
-	l.buf = strconv.AppendUint(l.buf, uint64(name), 16)
-	l.buf = append(l.buf, ' ')
-	l.buf = strconv.AppendFloat(l.buf, units, 'f', -1, 64)
-	l.buf = append(l.buf, ' ')
-	l.buf = strconv.AppendInt(l.buf, max((lifetime+999_999)/1_000_000, 1), 10)
-	l.buf = append(l.buf, "\r\n"...)
+	l.buf = c.Format.write(l.buf, name, units, lifetime)
 	l.calls, q.calls = append(l.calls, k), append(q.calls, k)
 	l.unsent++
 	c.unsent = append(c.unsent, l)
@@ -230,27 +240,27 @@
 		held += n
 		rest := buf[:held]
 		for {
-			end := bytes.IndexByte(rest, '\n')
-			if end < 0 {
+			size, done, spoilt, total, err := l.c.Format.next(rest, &l.half)
+			if spoilt { // what cannot become an answer is not waited for: behind it others wait
+				l.answer(0, &facade.Fault{Came: facade.Answering, Err: errNoTotal})
+				l.end(errors.New("spoilt answer"))
+				return
+			}
+			if size == 0 {
 				break
 			}
-			if !l.answer(bytes.TrimSuffix(rest[:end], []byte("\r"))) {
+			if done && !l.answer(total, err) {
 				l.end(errors.New("of no further use"))
 				return
 			}
-			rest = rest[end+1:]
-		}
-		// What cannot become an answer is not waited for: behind it others wait.
-		if held = copy(buf, rest); held > longestAnswer || held > 0 && bytes.IndexByte([]byte("obe"), buf[0]) < 0 {
-			l.answer(nil)
-			l.end(errors.New("spoilt answer"))
-			return
+			rest = rest[size:]
 		}
+		held = copy(buf, rest)
 	}
 }
 
 // answer passes on the answer to the oldest call; false says that nothing more can come.
-func (l *line) answer(text []byte) bool {
+func (l *line) answer(total float64, err error) bool {
 	c := l.c
 	c.mu.Lock()
 	if len(l.calls) == 0 || l.gone {
@@ -264,11 +274,12 @@
 		l.calls = nil
 	}
 	c.mu.Unlock()
-	total, err := meaning(text)
 	c.tell(k, total, err)
 	return (err == nil || err == facade.TurnedAway) && !(old && idle)
 }
 
+var errNoTotal = errors.New("no total")
+
 // meaning is the total of an answer, or why there is none. Where it is spoilt, the call has been added.
 func meaning(text []byte) (total float64, err error) {
 	switch string(text) {
@@ -277,7 +288,7 @@
 	}
 	sum, ok := bytes.CutPrefix(text, []byte("ok "))
 	if total, err = strconv.ParseFloat(string(sum), 64); err != nil || !ok || math.IsNaN(total-total) {
-		return 0, &facade.Fault{Came: facade.Answering, Err: errors.New("no total")}
+		return 0, &facade.Fault{Came: facade.Answering, Err: errNoTotal}
 	}
 	return total, nil
 }
@@ -287,6 +298,12 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	k.ended, k.total, k.err = true, total, err
+	if err == nil {
+		c.good++
+		c.failed = time.Time{}
+	} else if c.bad++; c.failed.IsZero() {
+		c.failed = time.Now()
+	}
 	q := c.names[k.name]
 	for !q.telling && len(q.calls) > 0 && q.calls[0].ended {
 		first := q.calls[0]
--- a/internal/facade/facade.go
+++ b/internal/facade/facade.go
@@ -196,6 +196,18 @@
 	f.do(func(now int64) { f.gate.Counted(now, outcome(err), name, total) })
 }
 
+// Quota tells what is known of a customer's quota, and counts nothing.
+func (f *Facade) Quota(c policy.CustomerID, pl policy.PlanID, entries int) (q policy.Quota, ok bool) {
+	f.do(func(now int64) { q, ok = f.gate.Quota(now, c, pl, entries) })
+	return q, ok
+}
+
+// Outages tells figures on the counter's failures.
+func (f *Facade) Outages() (o policy.Outages) {
+	f.do(func(int64) { o = f.gate.Outages() })
+	return o
+}
+
 // Probed brings the answer to a probe.
 func (f *Facade) Probed(b policy.BackendID, err error) {
 	f.do(func(now int64) { f.gate.Probed(now, b, outcome(err)) })
@@ -233,6 +245,8 @@
 
 func (d door) BreakOff(id policy.TransactionID) { d.open[id].end(Step{Do: BreakOff}) }
 
+func (d door) Grant(id policy.TransactionID) { d.open[id].end(Step{Do: Grant}) }
+
 func (d door) Wake(at int64, mark uint64) {
 	if mark != 0 {
 		d.mark = mark
@@ -336,6 +350,7 @@
 	Dismiss                // with the advice to come back
 	BreakOff               // with no promise
 	Leave                  // the client is gone: nothing is owed
+	Grant                  // counted, and nothing is sent: the profile only counts
 )
 
 // Step is what is to be done next for a transaction. All but Send are final.
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -514,6 +514,7 @@
 		switch string(name) {
 		case "c":
 			id, ok := s.Profiles[string(value)]
+			ok = ok && !s.Terms.Profiles[id].CountsOnly // that one is for the limit commands: nothing would be sent
 			class, bad = int(id), !ok
 			if ok {
 				profile = int(id)
--- a/internal/lab/model/model.go
+++ b/internal/lab/model/model.go
@@ -302,6 +302,9 @@
 // BreakOff gives a final answer.
 func (d *door) BreakOff(id policy.TransactionID) { d.open[id].answer(rules.BrokenOff, 0) }
 
+// Grant is never called: scenarios have no profile that only counts.
+func (d *door) Grant(policy.TransactionID) {}
+
 // Wake asks for a call at a time.
 func (d *door) Wake(at int64, mark uint64) {
 	if mark != 0 {
--- a/internal/lab/plots/plots.go
+++ b/internal/lab/plots/plots.go
@@ -61,9 +61,9 @@
 		{"calls a second", blue, func(r record.Row) float64 { return float64(r.Calls) }, false},
 		{"failed", red, func(r record.Row) float64 { return float64(r.Failed) }, false},
 		{"doors not calling", purple, func(r record.Row) float64 { return float64(r.Open) }, false}}},
-	{"quotas against an honest counter, summed up", "units", []curve{
-		{"sent on beyond", red, func(r record.Row) float64 { return r.Over }, true},
-		{"dismissed inside", orange, func(r record.Row) float64 { return r.Under }, true}}},
+	{"drift of customers' counts from an honest counter's", "units", []curve{
+		{"had more", red, func(r record.Row) float64 { return r.DriftOver }, false},
+		{"had less", orange, func(r record.Row) float64 { return r.DriftLess }, false}}},
 }
 
 // points are a curve's values over time.
@@ -244,7 +244,7 @@
 		return fmt.Sprintf("%.3f", float64(r.Total.Shots)/math.Max(float64(r.Total.Fulfilled), 1))
 	})
 	row("counter calls, failed", func(r *record.Run) string { return fmt.Sprint(r.Total.Calls, ", ", r.Total.Failed) })
-	row("units beyond, dismissed inside", func(r *record.Run) string {
+	row("drift: had more, had less", func(r *record.Run) string {
 		over, under := r.Drift()
 		return fmt.Sprintf("%.1f%%, %.1f%%", 100*over, 100*under)
 	})
@@ -278,9 +278,9 @@
 			"fulfilled of transactions": func(r *record.Run) float64 {
 				return 100 * float64(r.Total.Fulfilled) / math.Max(float64(r.Total.Transactions+r.Total.Unsent), 1)
 			},
-			"units beyond":     func(r *record.Run) float64 { over, _ := r.Drift(); return 100 * over },
-			"dismissed inside": func(r *record.Run) float64 { _, under := r.Drift(); return 100 * under },
-		}, []string{"fulfilled of transactions", "units beyond", "dismissed inside"}},
+			"had more": func(r *record.Run) float64 { over, _ := r.Drift(); return 100 * over },
+			"had less": func(r *record.Run) float64 { _, under := r.Drift(); return 100 * under },
+		}, []string{"fulfilled of transactions", "had more", "had less"}},
 		{"latency, ms", map[string]func(*record.Run) float64{
 			"p50": func(r *record.Run) float64 { return r.Total.P50 },
 			"p99": func(r *record.Run) float64 { return r.Total.P99 },
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -60,6 +60,22 @@
 	return f
 }
 
+// Watch adds figures that are asked for whenever they are shown. Each name has its help and its value.
+func (f *Figures) Watch(all map[string]Watched) {
+	if f == nil {
+		return
+	}
+	for name, w := range all {
+		f.reg.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: "gw", Name: name, Help: w.Help}, w.Value))
+	}
+}
+
+// Watched is a figure that is asked for.
+type Watched struct {
+	Help  string
+	Value func() float64
+}
+
 // Classes names the profiles anew, after a reload; what was counted for classes dropped stays readable. An
 // empty name keeps the one it had: open transactions of a dropped class count under it.
 func (f *Figures) Classes(names []string) {
--- a/policy/api.go
+++ b/policy/api.go
@@ -1,5 +1,12 @@
 // Package policy decides, for one front door, what becomes of each transaction. This file holds the words
 // that the decisions and their caller share; the decisions are in policy.go.
+//
+// How to call it: New makes a Gate from the terms; Backends feeds it the list. Take takes a transaction and
+// gives its handle; Settled, Started and Left are called on that handle. Counted, Probed and Wake bring the
+// answers of the counter, of probes and of the clock. Calls of one Gate come one at a time, in order of time.
+// Each transaction is counted under a short wait; a breaker stops calling a counter that fails, and the
+// door's share of the quota decides instead. What is let in goes to the first backend of a ranked order that
+// is below its limit. Only (*Transaction).shoot sends, and only end and Settled finish.
 package policy
 
 // Each kind of id is a type of its own. Ids say nothing beyond being equal or not.
@@ -94,6 +101,7 @@
 	HardLimit   int64
 	LateUtility float64 // share of the utility an answer after the promised time keeps
 	Silence     Silence // preset; the simulator's wire names none, so its doors keep their share
+	CountsOnly  bool    // a question about the quota: counted as a transaction is, then granted, and nothing is sent
 }
 
 // PlanTerms are a plan's quotas, each for one customer over all front doors.
@@ -136,6 +144,8 @@
 	// Dismiss tells the client that trying again is harmless, after comeBack if that is above 0.
 	Dismiss(t TransactionID, comeBack int64)
 	BreakOff(t TransactionID)
+	// Grant is the final answer to a transaction of a profile that only counts: there is room, and it was counted.
+	Grant(t TransactionID)
 	// Wake asks for a call of Gate.Wake with the same mark at the time at or soon after. One with a mark above
 	// 0 takes the place of all such before it; a call for those does nothing.
 	Wake(at int64, mark uint64)
--- a/policy/desk_test.go
+++ b/policy/desk_test.go
@@ -167,6 +167,7 @@
 	d.asked = append(d.asked, asked{c, units})
 }
 func (d *desk) Dismiss(id TransactionID, comeBack int64) { d.ends(id, "dismissed", comeBack) }
+func (d *desk) Grant(id TransactionID)                   { d.ends(id, "granted", 0) }
 func (d *desk) BreakOff(id TransactionID)                { d.ends(id, "broken off", 0) }
 
 func (d *desk) ends(id TransactionID, how string, advice int64) {
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -1,12 +1,5 @@
 // Package policy holds every decision of one front door. Its interface (ids, outcomes, terms, and the Door
-// that the decisions act through) is in api.go; what they remember is laid out in state.go.
-//
-// How to call it: New makes a Gate from the terms; Backends feeds it the list. Take takes a transaction and
-// gives its handle; Settled, Started and Left are called on that handle. Counted, Probed and Wake bring the
-// answers of the counter, of probes and of the clock. Calls of one Gate come one at a time, in order of time.
-// Each transaction is counted under a short wait; a breaker stops calling a counter that fails, and the
-// door's share of the quota decides instead. What is let in goes to the first backend of a ranked order that
-// is below its limit. Only (*Transaction).shoot sends, and only end and Settled finish.
+// that the decisions act through) is in api.go, and how to call it; what they remember is laid out in state.go.
 package policy
 
 import (
@@ -155,7 +148,7 @@
 	}
 	c.close = 2*p.quota >= t.entries*max(g.sizes.units, 1) &&
 		2*t.entries*float64(t.profile.wait) <= float64(p.window)
-	c.turn(now)
+	c.turn(now, g.fails >= breakAt, t.entries)
 	return c
 }
 
@@ -188,7 +181,7 @@
 // turn goes on to the window of now. Windows start at a time of the customer's own, so that clients who were
 // told to come back do not all come at once. What the last window used beyond its refill is carried over:
 // else a turn would grant a fresh burst.
-func (c *customer) turn(now int64) {
+func (c *customer) turn(now int64, open bool, entries float64) {
 	w := c.plan.window
 	if w == 0 || c.name != 0 && now < c.start+w {
 		return
@@ -199,9 +192,11 @@
 	c.known = max(c.known+c.owed-c.plan.Rate*float64(start-c.start)/float64(sec), 0)
 	if !c.close {
 		c.known = 0
+	} else if open { // nothing was heard: what this door's share holds stands for its part of the store
+		c.known = max(c.spent/c.part(entries)-c.plan.Rate*float64(start-c.at)/float64(sec), 0)
 	}
 	c.owed = 0 // what a long silence left owing has been refilled since, but for what is carried
-	c.missing, c.heard, c.righted, c.lacks = c.known, 0, 0, 0
+	c.missing, c.heard, c.righted, c.lacks, c.answers = c.known, 0, 0, 0, 0
 	// A count that holds shots too has a name of its own: doors that do not tell them could not read it.
 	c.start, c.name, c.told = start, CountID(mix(own+uint64(shifted/w)+uint64(c.plan.mark))), 0
 }
@@ -220,9 +215,9 @@
 func (t *Transaction) ask(now int64) {
 	g, c := t.gate, t.customer
 	switch {
-	case g.pick(now, t, 1) == nil:
+	case !t.profile.CountsOnly && g.pick(now, t, 1) == nil:
 		t.end(now, t.profile.Promised/8) // no backend has room: counted, it would shut others of the customer out
-	case c.known+t.units > c.plan.quota+c.refilled(now, c.start)+slop:
+	case g.fails < breakAt && c.known+t.units > c.plan.quota+c.refilled(now, c.start)+slop:
 		c.learn(0)
 		t.beyond(now) // spent as far as is known: no call can say otherwise
 	case !g.mayCall(now):
@@ -329,12 +324,17 @@
 	before, refilled := total-k.amount, c.refilled(now, k.start)
 	var right float64
 	if t != nil && k.start == c.start {
+		c.answers++
 		if c.heard-before > c.plan.quota/2 && before < c.heard/2 { // it came back empty
 			c.missing += c.heard
 		} else if c.missing > 0 && before-c.heard >= c.missing/2 { // another door put it right, as far as it knew
 			c.missing = max(c.known-before, 0)
 		} else if c.heard > 0 {
-			c.mine, c.others = 0.9*c.mine+k.amount, 0.9*c.others+max(before-c.heard, 0) // over about ten answers
+			// Over about ten answers a door, of all doors together. Between a window's first and last answers lie
+			// n-1 of n for (n-1)/(n+1) of its time: unweighted, a door of few would take its part for a half larger.
+			told, n := max(before-c.heard, 0), float64(c.answers)
+			keep := max(1-(k.amount+told)/(10*t.entries), 0.5)
+			c.mine, c.others = keep*c.mine+k.amount*(1-2/(n*(n+1))), keep*c.others+told
 		}
 		c.missing = max(c.missing, refilled-before)
 		total += c.missing
@@ -391,7 +391,7 @@
 	// Where backends are pressed, what was counted goes first: what is not may be beyond the quota, and costs
 	// its utility even where nobody answers it. Six tenths: at a half big days lose, above a jam comes. Behind
 	// an open breaker nothing is counted: there is nobody to go first.
-	if t.gate.terms.Counter && t.gate.fails < breakAt && t.gate.pick(now, t, 0.6) == nil {
+	if t.gate.terms.Counter && t.gate.fails < breakAt && !t.profile.CountsOnly && t.gate.pick(now, t, 0.6) == nil {
 		return false
 	}
 	chance := t.chance()
@@ -458,7 +458,7 @@
 // transactions earn more beyond the quota than they cost, and a backend has room for one, it is let in.
 func (t *Transaction) beyond(now int64) {
 	c := t.customer
-	if t.plan.BeyondEarns > t.plan.BeyondCosts {
+	if t.plan.BeyondEarns > t.plan.BeyondCosts && !t.profile.CountsOnly {
 		if b := t.gate.pick(now, t, 1); b != nil && b.load() <= 1 {
 			t.letIn(now, false)
 			return
@@ -484,7 +484,11 @@
 // send sends a shot to the best backend, or gives the transaction up: waiting for room gains nothing, since
 // the client may find it at another door.
 func (t *Transaction) send(now int64) {
-	if b := t.gate.pick(now, t, 1); b == nil || !t.shoot(now, b) {
+	if t.profile.CountsOnly {
+		t.inside, t.drawn = false, 0 // nothing is sent, and what was counted stays
+		t.finish()
+		t.gate.door.Grant(t.id)
+	} else if b := t.gate.pick(now, t, 1); b == nil || !t.shoot(now, b) {
 		t.end(now, t.profile.Promised/8) // early enough for another try within the promised time
 	}
 }
@@ -569,12 +573,11 @@
 		return
 	}
 	s.to.strike(g, now)
-	if t.out > 1 || now >= t.lastCall() || !t.harmless() {
-		return
-	}
-	if b := g.pick(now, t, 1); g.terms.SecondCopies && b != nil && b != s.to {
+	switch b := g.pick(now, t, 1); {
+	case t.out > 1 || now >= t.lastCall() || !t.harmless():
+	case g.terms.SecondCopies && b != nil && b != s.to:
 		t.shoot(now, b)
-	} else if !g.terms.SecondCopies && g.terms.Recalls && len(t.shots) < g.terms.MostShots {
+	case !g.terms.SecondCopies && g.terms.Recalls && len(t.shots) < g.terms.MostShots:
 		g.door.Recall(t.id, ShotID(n))
 	}
 }
--- a/policy/state.go
+++ b/policy/state.go
@@ -109,6 +109,7 @@
 	owed    float64 // units to be told with the next call: let in without the counter, or counted and not sent
 	mine    float64 // units told lately by this door
 	others  float64 // and by the others
+	answers int     // told for this window
 	close   bool    // its doors see enough of it to reckon its store together
 	granted mean
 	spent   float64 // units let in here that the door's share has not refilled yet
@@ -187,6 +188,67 @@
 // Breaker tells, for figures, whether calls to the counter are stopped, and else which part of the transactions calls.
 func (g *Gate) Breaker() (open bool, part float64) { return g.fails >= breakAt, g.part }
 
+// Quota is what the door knows of a customer's quota, for those who ask without counting.
+type Quota struct {
+	Limit   float64 // units that the store holds when it is full; 0: the plan has no such quota
+	Rate    float64 // units a second that come back
+	Used    float64 // units used and not refilled yet
+	Heard   bool    // the counter told of this window; else the figures are the door's own share's
+	Ceiling float64 // units left of this door's part of the ceiling; -1: the plan has none
+}
+
+// Quota tells what is known of a customer's quota now, and counts nothing. ok is false for a plan out of range.
+func (g *Gate) Quota(now int64, id CustomerID, pl PlanID, entries int) (q Quota, ok bool) {
+	if int(pl) >= len(g.plans) {
+		return q, false
+	}
+	p := &g.plans[pl]
+	q = Quota{Limit: p.quota, Rate: p.Rate, Ceiling: -1}
+	if p.CeilingRate > 0 {
+		q.Ceiling = p.CeilingBurst / float64(max(entries, 1))
+	}
+	c := g.customers[id]
+	if c == nil || c.plan != p {
+		return q, true
+	}
+	if p.CeilingRate > 0 {
+		part := float64(now-c.filled) / float64(sec) * p.CeilingRate / float64(max(entries, 1))
+		q.Ceiling = min(c.ceiling+part, q.Ceiling)
+	}
+	if open, _ := g.Breaker(); open || c.heard == 0 && c.known == 0 {
+		part := c.part(float64(max(entries, 1)))
+		q.Used = max(c.spent/part-p.Rate*float64(now-c.at)/float64(sec), 0)
+	} else {
+		q.Used = max(c.known+c.owed-p.Rate*float64(now-c.start)/float64(sec), 0)
+		q.Heard = c.heard > 0
+	}
+	return q, true
+}
+
+// Outages are figures on the counter's failures, as this door met them.
+type Outages struct {
+	Open      bool    // calls are stopped
+	Calling   float64 // part of the transactions that call otherwise
+	Owed      float64 // units let in and not told yet, of all customers
+	Lacking   float64 // units that the counter's numbers are known to lack, of all customers
+	Righted   float64 // units put right on the counter's numbers, of all customers remembered
+	Drift     float64 // units that the doors may be apart from one count: owed and lacking, together
+	Customers int     // remembered
+}
+
+// Outages tells them.
+func (g *Gate) Outages() Outages {
+	o := Outages{Customers: len(g.customers)}
+	o.Open, o.Calling = g.Breaker()
+	for _, c := range g.customers {
+		o.Owed += max(c.owed, 0)
+		o.Lacking += max(c.missing, 0)
+		o.Righted += max(c.righted, 0)
+	}
+	o.Drift = o.Owed + o.Lacking
+	return o
+}
+
 // dropGone forgets the backends that are gone once nothing is out there: others come under new ids for ever.
 func (g *Gate) dropGone() {
 	g.listed = slices.DeleteFunc(g.listed, func(b *backend) bool {
