Replicated store on Raft, with a guard against old copies; plans edited in it (in work)

Need: installations whose doors may talk keep plans in a store of their own (issue: daemon with its own replicated store).

--- a/cmd/fawnplank/commands.go
+++ b/cmd/fawnplank/commands.go
@@ -40,11 +40,17 @@
 	c.PersistentFlags().StringVar(&operator, "operator", os.Getenv("GW_OPERATOR"), "operator file, TOML (default: the one that GW_OPERATOR names, or none)")
 	c.PersistentFlags().StringVar(&level, "log-level", "", "least level of what is logged: error, warning, info or debug (default: the operator file's, or info)")
 	c.PersistentFlags().StringVar(&format, "log-format", "", "form of the log: text or json (default: the operator file's, or text)")
-	c.AddCommand(&cobra.Command{Use: "serve", Short: "Run a front door until SIGTERM", Args: cobra.NoArgs,
+	var replica storeFlags
+	serving := &cobra.Command{Use: "serve", Short: "Run a front door until SIGTERM", Args: cobra.NoArgs,
 		Long: `Runs a front door. SIGHUP reads the configuration again, whole or not at all; on SIGTERM the door goes on
 serving for half a second, answers what it has taken, and exits.`,
-		Example: "  fawnplank serve -c config.json\n  GW_CONFIG=config.json fawnplank serve --log-level warning",
-		RunE:    func(*cobra.Command, []string) error { return serve(path, operator, level, format) }})
+		Example: `  fawnplank serve -c config.json
+  GW_CONFIG=config.json fawnplank serve --log-level warning
+  fawnplank serve -c config.json --store /var/lib/fawnplank --me a@127.0.0.1:7001@127.0.0.1:7101 \
+    --peers a@127.0.0.1:7001@127.0.0.1:7101,b@127.0.0.1:7002@127.0.0.1:7102,c@127.0.0.1:7003@127.0.0.1:7103`,
+		RunE: func(*cobra.Command, []string) error { return serve(path, operator, level, format, replica) }}
+	replica.flags(serving)
+	c.AddCommand(serving, storeCommand())
 	c.AddCommand(&cobra.Command{Use: "check [FILE]", Short: "Read the configuration, or an operator file, and say what is wrong with it",
 		Long: `Reads what serve would read, by the same code, and says what is wrong: the configuration with its key, the operator
 file with file, line and key. With FILE, an operator file alone is read. Ends with status 1 if anything is wrong.`,
@@ -58,7 +64,7 @@
 				fmt.Printf("%s: in order\n", words[0])
 				return nil
 			}
-			start, _, err := read(path, operator)
+			start, _, err := read(path, operator, config.Overlay{})
 			if err != nil {
 				return err
 			}
--- a/cmd/fawnplank/main.go
+++ b/cmd/fawnplank/main.go
@@ -65,8 +65,8 @@
 }
 
 // read reads the configuration and the operator file, and checks them whole.
-func read(path, operator string) (*config.Start, *config.Operator, error) {
-	start, err := config.Read(path)
+func read(path, operator string, over config.Overlay) (*config.Start, *config.Operator, error) {
+	start, err := config.Read(path, over)
 	if err == nil {
 		err = discovery.Check(start.Known)
 	}
@@ -82,10 +82,10 @@
 }
 
 // serve runs a front door until it is told to stop.
-func serve(path, operator, level, format string) error {
+func serve(path, operator, level, format string, replica storeFlags) error {
 	told := make(chan os.Signal, 8) // from here on, since SIGHUP would end the program otherwise
 	signal.Notify(told, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
-	start, set, err := read(path, operator)
+	start, set, err := read(path, operator, config.Overlay{})
 	if err != nil {
 		return err
 	}
@@ -139,6 +139,11 @@
 	}
 	served, stopped := make(chan error, 1), make(chan struct{})
 	go func() { served <- server.Serve(listener) }()
+	kept, edited, err := openStore(replica, path, operator)
+	if err != nil {
+		return err
+	}
+	defer kept.Close()
 	d := &door{server: server, figures: figures}
 	if start.Mgmt != "" {
 		m, err := admin.New(start.Mgmt, d)
@@ -164,9 +169,14 @@
 			served = nil
 		case <-stopped:
 			return nil
+		case <-edited: // a plan or class was edited in the store: as at SIGHUP
+			select {
+			case told <- syscall.SIGHUP:
+			default: // signals wait already, which will do
+			}
 		case s := <-told: // one at a time: a further one waits
 			if s == syscall.SIGHUP {
-				fresh := reload(path, operator, start, set, count, list)
+				fresh := reload(path, operator, kept.overlay(), start, set, count, list)
 				if figures.Reloaded(fresh != nil); fresh != nil {
 					f.Retune(fresh.Terms)
 					server.Retune(fresh)
@@ -224,8 +234,8 @@
 // reload reads the configuration anew and goes on to the addresses that it names, and to its settings: the
 // configuration to go on with, with the ids of profiles and plans that follow start's. Where the new one is
 // faulty nothing changes, and it gives nil; listen, mgmt, limits and seed wait for a restart.
-func reload(path, operator string, start *config.Start, set *config.Operator, count *counter.Client, list *discovery.Client) *config.Start {
-	fresh, now, err := read(path, operator)
+func reload(path, operator string, over config.Overlay, start *config.Start, set *config.Operator, count *counter.Client, list *discovery.Client) *config.Start {
+	fresh, now, err := read(path, operator, over)
 	if err != nil {
 		logs.For("config").WithError(err).Error("not reloaded, the old configuration stays")
 		return nil
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -7,8 +7,10 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
 	"os"
+	"slices"
 	"strconv"
 
 	"fawnplank/policy"
@@ -42,10 +44,75 @@
 	defaultMostUnits = 1e6
 )
 
+// Overlay are rows of the settings that stand in the replicated store: a plan or class of the file's is replaced by
+// the one of its name here, and one of a new name is added behind the file's.
+type Overlay struct{ Plans, Classes map[string]json.RawMessage }
+
+// The prefixes of the store's keys that hold them.
+const (
+	PlanKey  = "plans/"
+	ClassKey = "classes/"
+)
+
+// lay lays the overlay over a configuration's text.
+func (o Overlay) lay(text []byte) ([]byte, error) {
+	if len(o.Plans) == 0 && len(o.Classes) == 0 {
+		return text, nil
+	}
+	var top, settings map[string]json.RawMessage
+	if err := json.Unmarshal(text, &top); err != nil {
+		return nil, fmt.Errorf("no JSON object: %w", err)
+	}
+	if err := json.Unmarshal(top["settings"], &settings); err != nil {
+		return nil, fmt.Errorf("settings: no JSON object: %w", err)
+	}
+	for key, rows := range map[string]map[string]json.RawMessage{"tariffs": o.Plans, "lanes": o.Classes} {
+		var all []json.RawMessage
+		if err := json.Unmarshal(settings[key], &all); err != nil {
+			return nil, fmt.Errorf("settings: %s is no list: %w", key, err)
+		}
+		seen := map[string]bool{}
+		for n, row := range all {
+			var x struct {
+				Name string `json:"name"`
+			}
+			if err := json.Unmarshal(row, &x); err != nil {
+				return nil, fmt.Errorf("settings: %s[%d]: %w", key, n, err)
+			}
+			if fresh, ok := rows[x.Name]; ok {
+				all[n] = fresh
+			}
+			seen[x.Name] = true
+		}
+		for _, name := range slices.Sorted(maps.Keys(rows)) {
+			if !seen[name] {
+				all = append(all, rows[name])
+			}
+		}
+		settings[key], _ = json.Marshal(all)
+	}
+	top["settings"], _ = json.Marshal(settings)
+	return json.Marshal(top)
+}
+
+// Row checks that a value of the store is a row of the name that its key says.
+func Row(name string, value json.RawMessage) error {
+	var x struct {
+		Name string `json:"name"`
+	}
+	if err := json.Unmarshal(value, &x); err != nil {
+		return err
+	}
+	if x.Name != name {
+		return fmt.Errorf("its name is %q, and the key's is %q", x.Name, name)
+	}
+	return nil
+}
+
 // Read reads the configuration from the file path, or from the file that GW_CONFIG names where path is
 // empty. GW_NAME, GW_LISTEN, GW_DISCOVERY and GW_MGMT stand in for keys that the file leaves out; GW_SOCKET_FD
 // or SOCKET_FD names a listener that the process is handed.
-func Read(path string) (*Start, error) {
+func Read(path string, over Overlay) (*Start, error) {
 	if path == "" {
 		path = os.Getenv("GW_CONFIG")
 	}
@@ -56,6 +123,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("configuration: %w", err)
 	}
+	if text, err = over.lay(text); err != nil {
+		return nil, fmt.Errorf("configuration %s with the store's rows: %w", path, err)
+	}
 	s, err := parse(text, os.Getenv)
 	if err != nil {
 		return nil, fmt.Errorf("configuration %s: %w", path, err)
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -73,16 +73,16 @@
 	t.Setenv("GW_CONFIG", path)
 	t.Setenv("GW_LISTEN", "127.0.0.9:1")
 	t.Setenv("GW_NAME", "other") // the file's own word goes first
-	s, err := Read("")
+	s, err := Read("", Overlay{})
 	if err != nil || s.Listen != "127.0.0.9:1" || s.Name != "n3" || s.Sockets != defaultSockets ||
 		s.MemoryBytes != defaultMemoryMB<<20 {
 		t.Errorf("%+v, %v", s, err)
 	}
 	t.Setenv("GW_CONFIG", "")
-	if _, err := Read(""); err == nil {
+	if _, err := Read("", Overlay{}); err == nil {
 		t.Error("no file, no fault")
 	}
-	if _, err := Read(path + "x"); err == nil {
+	if _, err := Read(path+"x", Overlay{}); err == nil {
 		t.Error("a missing file, no fault")
 	}
 }
--- a/internal/config/migrate_test.go
+++ b/internal/config/migrate_test.go
@@ -55,7 +55,7 @@
 			t.Errorf("line %d is %q, not %q", n, lines[n], want[n])
 		}
 	}
-	s, err := Read(to)
+	s, err := Read(to, Overlay{})
 	if err != nil {
 		t.Fatal(err)
 	}
