--- a/cmd/fawnplank/main.go
+++ b/cmd/fawnplank/main.go
@@ -28,6 +28,7 @@
 	"fawnplank/internal/discovery"
 	"fawnplank/internal/facade"
 	"fawnplank/internal/front"
+	"fawnplank/internal/learned"
 	"fawnplank/internal/logs"
 	"fawnplank/internal/metrics"
 	"fawnplank/internal/room"
@@ -127,6 +128,8 @@
 		list.Follow()
 	}
 
+	keep := keepLearned(f, set)
+	defer keep()
 	listener, err := listen(start)
 	if err != nil {
 		return fmt.Errorf("configuration: listen: %w", err)
@@ -314,3 +317,43 @@
 		"customers":              {Help: "customers remembered", Value: of(func(o policy.Outages) float64 { return float64(o.Customers) })},
 	}
 }
+
+// keepLearned takes over what an earlier life of the door learned, where the operator file names a file for it, and
+// writes it there from time to time. The function that it gives writes it a last time.
+func keepLearned(f *facade.Facade, set *config.Operator) func() {
+	path := set.Learned.File
+	if path == "" {
+		return func() {}
+	}
+	if l, age, err := learned.Load(path, time.Now()); err == nil {
+		f.Relearn(l, age)
+		logs.For("learned").WithFields(logrus.Fields{"age": age.String(), "backends": len(l.Backends)}).Info("taken over")
+	} else if !errors.Is(err, os.ErrNotExist) {
+		logs.For("learned").WithError(err).Warn("refused; the door starts afresh")
+	}
+	failing := false
+	save := func() {
+		err := learned.Save(path, f.Learned(), time.Now())
+		if err != nil && !failing { // once an outage
+			logs.For("learned").WithError(err).Error("not written")
+		}
+		failing = err != nil
+	}
+	stop, done := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(done)
+		for {
+			select {
+			case <-stop:
+				save()
+				return
+			case <-time.After(time.Duration(set.Learned.Every)):
+				save()
+			}
+		}
+	}()
+	return func() {
+		close(stop)
+		<-done
+	}
+}
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -17,6 +17,13 @@
 	Limits  Limits        `toml:"limits"`
 	Counter CounterFormat `toml:"counter"`
 	Log     Log           `toml:"log"`
+	Learned Learned       `toml:"learned"`
+}
+
+// Learned is where a folder lasts: what the door learned of the backends is kept there over a restart.
+type Learned struct {
+	File  string   `toml:"file"`  // empty: off
+	Every Duration `toml:"every"` // between two writes
 }
 
 // Log is how the log is written.
@@ -53,13 +60,14 @@
 // Defaults of the operator file.
 const (
 	defaultWithin      = Duration(750e6) // the promised time that users know
+	defaultEvery       = Duration(5e9)   // what is known of a backend fades by two thirds meanwhile
 	defaultConnections = 64              // tools, not customers
 )
 
 // ReadOperator reads an operator file whole and checks it; an empty path sets nothing. Errors name file, line and
 // key.
 func ReadOperator(path string) (*Operator, error) {
-	o := &Operator{Limits: Limits{Within: defaultWithin, Connections: defaultConnections}, Counter: CounterFormat{"text"}, Log: Log{"text", "info"}}
+	o := &Operator{Limits: Limits{Within: defaultWithin, Connections: defaultConnections}, Counter: CounterFormat{"text"}, Log: Log{"text", "info"}, Learned: Learned{Every: defaultEvery}}
 	if path == "" {
 		return o, nil
 	}
@@ -83,6 +91,9 @@
 	if o.Log.Format != "text" && o.Log.Format != "json" {
 		return nil, f.Fault("log.format", fmt.Sprintf("is %q, not text or json", o.Log.Format))
 	}
+	if o.Learned.Every < 1e8 || o.Learned.Every > 3600e9 {
+		return nil, f.Fault("learned.every", "is not from 100ms to 1h")
+	}
 	if !slices.Contains([]string{"error", "warning", "info", "debug"}, o.Log.Level) {
 		return nil, f.Fault("log.level", fmt.Sprintf("is %q, not error, warning, info or debug", o.Log.Level))
 	}
--- a/internal/config/operator_test.go
+++ b/internal/config/operator_test.go
@@ -29,6 +29,7 @@
 		"[limits\n":                                                    ":1: ",
 		"[store]\ndir = \"x\"\n":                                       ": unknown key",
 		"[log]\nformat = \"xml\"\n":                                    ":2: log.format is \"xml\"",
+		"[learned]\nevery = \"1ms\"\n":                                 ":2: learned.every",
 		"[log]\nlevel = \"loud\"\n":                                    ":2: log.level is \"loud\"",
 		"[log]\nformat = \"json\"\nlevel = \"debug\"\n[counter]\n":     "",
 		"[limits]\nanswer_within = \"100ms\"\nlisten = \"[::1]:99\"\n": "",
--- a/internal/facade/facade.go
+++ b/internal/facade/facade.go
@@ -207,6 +207,17 @@
 	return o
 }
 
+// Learned tells what is known of the backends' answer times.
+func (f *Facade) Learned() (l policy.Learned) {
+	f.do(func(int64) { l = f.gate.Learned() })
+	return l
+}
+
+// Relearn takes over what an earlier life knew, so long ago.
+func (f *Facade) Relearn(l policy.Learned, age time.Duration) {
+	f.do(func(now int64) { f.gate.Relearn(now, l, int64(age)) })
+}
+
 // Probed brings the answer to a probe.
 func (f *Facade) Probed(b policy.BackendID, err error) {
 	f.do(func(now int64) { f.gate.Probed(now, b, outcome(err)) })
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -1026,3 +1026,45 @@
 		t.Errorf("a door of two with half of the traffic takes its part for %.2f", part)
 	}
 }
+
+// What an earlier life knew counts by its age: at once for all, after hours for next to nothing; a backend that was
+// started anew since is unknown; and what rule 4 rests on is not taken over.
+func TestLearnedStateIsAged(t *testing.T) {
+	old := newDesk(t, plainTerms(), ready(1, 2, 3)...)
+	for n := range 60 {
+		x := old.take(TransactionID(n), 0, 0, CustomerID(n), 2*sec, 1)
+		for len(old.asked) > 0 {
+			old.answer(Fulfilled)
+		}
+		old.pass(20 * ms)
+		if len(x.shots) > 0 {
+			old.settle(x, 0, Fulfilled)
+		}
+	}
+	l := old.g.Learned()
+	if len(l.Backends) < 2 || l.Usual < 15e6 || l.Usual > 30e6 {
+		t.Fatalf("%+v", l)
+	}
+	for age, want := range map[int64]float64{0: 1, 600 * sec: 0.5, 6 * 3600 * sec: 1e-9} {
+		d := newDesk(t, plainTerms(), ready(1, 2)...)
+		d.list(Changes, Listed{Backend: 3, Size: 1, Stage: Ready, Started: d.now - 60*sec})
+		d.g.Relearn(d.now, l, age)
+		if got := d.g.all.count / l.Count; math.Abs(got-want) > 0.01 {
+			t.Errorf("after %d s all together count for %.4f, want %.4f", age/sec, got, want)
+		}
+		if one := d.g.backends[1].pace.count; (age == 0) != (one > 0.5) {
+			t.Errorf("after %d s a backend's own time counts for %.4f answers", age/sec, one)
+		}
+		if d.g.backends[3].pace.count != 0 {
+			t.Error("a backend that was started anew is taken for known")
+		}
+		if d.g.quick != 0 || d.g.firsts != 0 || d.g.can != 0 {
+			t.Error("the budget of cold backends rests on an earlier life")
+		}
+	}
+	d := newDesk(t, plainTerms(), ready(1, 2, 3)...)
+	d.g.Relearn(d.now, Learned{Usual: math.NaN(), Count: 1e9, Backends: []LearnedBackend{{Backend: 1, Usual: -4, Count: 9}, {Backend: 99}}}, -5)
+	if d.g.all.count != 0 || d.g.backends[1].pace.count != 0 {
+		t.Error("figures out of range were taken")
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"math"
 	"slices"
 
 	"fawnplank/internal/due"
@@ -249,6 +250,53 @@
 	return o
 }
 
+// Learned is what a door knows of the backends' answer times, for one that is started after it.
+type Learned struct {
+	Usual    float64          `json:"usual_ns"` // of all together
+	Count    float64          `json:"count"`    // of answers that stand behind it
+	Backends []LearnedBackend `json:"backends"`
+}
+
+// LearnedBackend is one backend's part.
+type LearnedBackend struct {
+	Backend BackendID `json:"backend"`
+	Started int64     `json:"started"` // of the life that it was learned of
+	Usual   float64   `json:"usual_ns"`
+	Count   float64   `json:"count"`
+}
+
+// Learned tells what is known, of the backends listed.
+func (g *Gate) Learned() Learned {
+	l := Learned{Usual: g.all.value, Count: g.all.count}
+	for _, b := range g.listed {
+		if b.pace.count > 0 {
+			l.Backends = append(l.Backends, LearnedBackend{b.id, b.started, b.pace.value, b.pace.count})
+		}
+	}
+	return l
+}
+
+// Relearn takes over what an earlier life of the door knew, aged: it counts for as much less as it would have faded in
+// the meantime, the backends' own times by half in 3.4 s (tick's fade), that of all together by half in ten minutes,
+// for a fleet changes in the course of a day. What is known already stays, and so do the figures that rule 4
+// rests on: those are learned anew.
+func (g *Gate) Relearn(now int64, l Learned, age int64) {
+	const half = 600 * sec
+	keep := func(count float64, halves float64) float64 { return min(max(count, 0), 30) * math.Exp2(-halves) }
+	fine := func(usual float64) bool { return usual > 0 && usual < 1e12 }
+	if n := keep(l.Count, float64(max(age, 0))/float64(half)); n > g.all.count && fine(l.Usual) {
+		g.all = mean{l.Usual, n}
+	}
+	for _, x := range l.Backends {
+		b := g.backends[x.Backend]
+		n := keep(x.Count, float64(max(age, 0))/(3.4*float64(sec)))
+		if b != nil && b.started == x.Started && n > b.pace.count && fine(x.Usual) {
+			b.pace = mean{x.Usual, n}
+		}
+	}
+	g.rank(now)
+}
+
 // dropGone forgets the backends that are gone once nothing is out there: others come under new ids for ever.
 func (g *Gate) dropGone() {
 	g.listed = slices.DeleteFunc(g.listed, func(b *backend) bool {
