--- a/cmd/fawnplank/store.go
+++ b/cmd/fawnplank/store.go
@@ -55,6 +55,10 @@
 // kept is the front door's replica; a nil one is off.
 type kept struct{ *store.Store }
 
+// fullDisks lets a write beyond a limit on file sizes fail as one on a full disk does, with an error that is told, in
+// place of ending the process.
+func fullDisks() { signal.Ignore(syscall.SIGXFSZ) }
+
 // openStore starts the replica, where there is one. Something comes on edited when a plan or class has changed.
 func openStore(f storeFlags, path, operator string) (*kept, chan struct{}, error) {
 	if f.dir == "" {
@@ -64,6 +68,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
+	fullDisks()
 	edited := make(chan struct{}, 1)
 	o.Changed = func(keys []string) {
 		for _, k := range keys {
@@ -133,6 +138,7 @@
 			if err != nil {
 				return err
 			}
+			fullDisks()
 			told := make(chan os.Signal, 1)
 			signal.Notify(told, syscall.SIGTERM, os.Interrupt)
 			s, err := store.Open(o)
--- a/cmd/fawnplank/store_test.go
+++ b/cmd/fawnplank/store_test.go
@@ -14,6 +14,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // replica is a process with a replica of the store.
@@ -256,3 +258,62 @@
 		}
 	}
 }
+
+// Failure to bear: the disk of one replica is full. Its error is told, what the others hold goes on, nothing that was
+// told to have landed is lost, and it catches up once there is room.
+func TestAFullDiskIsReported(t *testing.T) {
+	all := replicas(t, "a", "b", "c")
+	for _, r := range all {
+		r.start(t, all)
+	}
+	until(t, "a first write", func() bool { _, err := all[0].ask("PUT", "/v1/kv/k", "0"); return err == nil })
+	status := func(r *replica) (x struct {
+		State, Leader, Print string
+		At                   int
+	}) {
+		text, _ := r.ask("GET", "/v1/status", "")
+		json.Unmarshal([]byte(text), &x)
+		return x
+	}
+	var leader *replica
+	until(t, "a leader", func() bool {
+		for _, r := range all {
+			if status(r).State == "Leader" {
+				leader = r
+			}
+		}
+		return leader != nil
+	})
+	limit := func(bytes uint64) {
+		if err := unix.Prlimit(leader.cmd.Process.Pid, unix.RLIMIT_FSIZE, &unix.Rlimit{Cur: bytes, Max: unix.RLIM_INFINITY}, nil); err != nil {
+			t.Fatal(err)
+		}
+	}
+	limit(4096) // below what its log has already: no write there gets through
+	_, err := leader.ask("PUT", "/v1/kv/k", "1")
+	others := 0
+	for n := 2; n < 40; n++ {
+		if _, err := all[n%3].ask("PUT", "/v1/kv/k", fmt.Sprint(n)); err == nil {
+			others = n
+		} else {
+			time.Sleep(50 * time.Millisecond)
+		}
+	}
+	if err == nil && others == 0 {
+		t.Error("a full disk was not told")
+	}
+	if others == 0 {
+		t.Error("the other two did not go on")
+	}
+	limit(unix.RLIM_INFINITY)
+	until(t, "the same state in all three", func() bool {
+		a, b, c := status(all[0]), status(all[1]), status(all[2])
+		return a.Print != "" && a.Print == b.Print && b.Print == c.Print && a.At == b.At && b.At == c.At
+	})
+	var value struct{ Value int }
+	text, _ := leader.ask("GET", "/v1/kv/k?stale=1", "")
+	if json.Unmarshal([]byte(text), &value); value.Value < others {
+		t.Errorf("%d is held where %d was told to have landed", value.Value, others)
+	}
+	t.Logf("the full replica said: %v; the others went on to %d", err, others)
+}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -158,7 +158,7 @@
 			}
 		}
 	}
-	r, err := raft.NewRaft(c, (*machine)(s), s.bolt, s.bolt, snaps, s.gate)
+	r, err := raft.NewRaft(c, (*machine)(s), s.bolt, patient{s.bolt, s.closed}, snaps, s.gate)
 	if err != nil {
 		return err
 	}
