Tests: addresses of their own on loopback, and answers that take time

Cause: a test's address on 127.0.0.1 was taken by a connection before the door listened; answers in no time made any delay look like a jam. Change: addresses on 127.x.y.z; two milliseconds an answer.

--- a/cmd/fawnplank/limits_test.go
+++ b/cmd/fawnplank/limits_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -17,7 +18,8 @@
 
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	// A loopback address of its own: the ports of 127.0.0.1 are taken by connections at any moment.
+	l, err := net.Listen("tcp4", fmt.Sprintf("127.%d.%d.%d:0", 1+rand.IntN(250), rand.IntN(250), 1+rand.IntN(250)))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/lab/rig/rig.go
+++ b/internal/lab/rig/rig.go
@@ -8,6 +8,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -154,9 +155,10 @@
 	return run, ctx.Err()
 }
 
-// free finds an address that nobody listens on.
+// free finds an address that nobody listens on: on a loopback address of its own, since the ports of 127.0.0.1 are
+// taken by others' connections between the moment it is found and the moment it is used.
 func free() (string, error) {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	l, err := net.Listen("tcp4", fmt.Sprintf("127.%d.%d.%d:0", 1+rand.IntN(250), rand.IntN(250), 1+rand.IntN(250)))
 	if err != nil {
 		return "", err
 	}
--- a/internal/limitd/limitd_test.go
+++ b/internal/limitd/limitd_test.go
@@ -219,6 +219,7 @@
 			if sent {
 				let[0]++
 				step.Shot.Begin(nil)
+				time.Sleep(2 * time.Millisecond) // beside no time at all, any delay of the machine's would look like a jam
 				step.Shot.Report([]byte("ok"), 0, nil)
 				tx.Pick()
 			}
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -27,7 +28,8 @@
 }
 
 func address(t testing.TB) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	// A loopback address of its own: the ports of 127.0.0.1 are taken by connections at any moment.
+	l, err := net.Listen("tcp4", fmt.Sprintf("127.%d.%d.%d:0", 1+rand.IntN(250), rand.IntN(250), 1+rand.IntN(250)))
 	if err != nil {
 		t.Fatal(err)
 	}
