Laboratory: stand-ins alone, for front doors started by hand

Need: tried as a new user would, a front door had nothing to stand before but a whole scenario's run. Change: fawnplank lab stand-ins writes the doors' configurations and plays the faults; lab load says what clients do not see.

--- a/cmd/fawnplank-lab/main.go
+++ b/cmd/fawnplank-lab/main.go
@@ -16,6 +16,7 @@
 	"github.com/spf13/cobra"
 	"golang.org/x/sync/errgroup"
 
+	"fawnplank/internal/lab/emu"
 	"fawnplank/internal/lab/load"
 	"fawnplank/internal/lab/model"
 	"fawnplank/internal/lab/plots"
@@ -41,7 +42,7 @@
 simulated time, at sizes that sockets do not reach. The five rules are checked in every run.`,
 		SilenceUsage: true, SilenceErrors: true}
 	c.CompletionOptions.DisableDefaultCmd = true
-	c.AddCommand(runCommand(), checkCommand(), loadCommand(), reportCommand(), sweepCommand())
+	c.AddCommand(runCommand(), checkCommand(), loadCommand(), reportCommand(), sweepCommand(), standInsCommand())
 	return c
 }
 
@@ -178,6 +179,7 @@
 			tool := load.New(s, log, to)
 			tool.Run(c.Context().Done())
 			run := log.Finish()
+			run.On = record.OnClients
 			run.LagP50, run.LagP99 = tool.Lag()
 			if out != "" {
 				if err := run.Write(out); err != nil {
@@ -274,3 +276,65 @@
 	c.Flags().IntVar(&side, "parallel", 4, "runs at once")
 	return c
 }
+
+func standInsCommand() *cobra.Command {
+	var o over
+	var folder string
+	var stay time.Duration
+	c := &cobra.Command{Use: "stand-ins SCENARIO --dir FOLDER", Short: "Run a scenario's backends, counter and discovery alone, for front doors started by hand",
+		Long: `Starts the scenario's stand-ins on loopback, writes a configuration for each of its front doors into the folder, and
+tells how to start them. Its faults come at their times from then on. Ends by itself after --stay, or at SIGTERM.`,
+		Args: cobra.ExactArgs(1), Example: "  fawnplank lab stand-ins lab/scenarios/one-hangs.toml --dir try --stay 10m",
+		RunE: func(c *cobra.Command, args []string) error {
+			s, err := o.load(args[0])
+			if err != nil {
+				return err
+			}
+			terms, err := s.Terms(0)
+			if err != nil {
+				return err
+			}
+			if stay <= 0 || stay > time.Hour {
+				return fmt.Errorf("--stay %v is not above 0 and at most 1h", stay)
+			}
+			if err := os.MkdirAll(folder, 0o755); err != nil {
+				return err
+			}
+			log := record.NewLog(record.New(s, terms, 50e6))
+			outside, err := emu.Start(s, log)
+			if err != nil {
+				return err
+			}
+			defer outside.Close()
+			var to []string
+			for n := range s.Doors.Count {
+				at, err := rig.FreeAddress()
+				if err != nil {
+					return err
+				}
+				text, err := outside.Config(n, at)
+				if err != nil {
+					return err
+				}
+				path := filepath.Join(folder, fmt.Sprintf("d%d.json", n))
+				if err := os.WriteFile(path, text, 0o644); err != nil {
+					return err
+				}
+				to = append(to, at)
+				fmt.Fprintf(c.OutOrStdout(), "fawnplank serve -c %s\n", path)
+			}
+			fmt.Fprintf(c.OutOrStdout(), "fawnplank lab load %s --to %s\n", args[0], strings.Join(to, ","))
+			log.Begin()
+			outside.Play()
+			select {
+			case <-c.Context().Done():
+			case <-time.After(stay):
+			}
+			return nil
+		}}
+	o.flags(c)
+	c.Flags().StringVar(&folder, "dir", "", "folder for the front doors' configurations")
+	c.Flags().DurationVar(&stay, "stay", 10*time.Minute, "for how long, at most 1h")
+	c.MarkFlagRequired("dir")
+	return c
+}
--- a/cmd/fawnplank/commands.go
+++ b/cmd/fawnplank/commands.go
@@ -76,7 +76,7 @@
 	c.AddCommand(&cobra.Command{Use: "version", Short: "Print the version", Args: cobra.NoArgs,
 		Example: "  fawnplank version",
 		Run:     func(*cobra.Command, []string) { fmt.Println("fawnplank", version, runtime.Version()) }})
-	c.AddCommand(&cobra.Command{Use: "lab VERB", Short: "Try designs and faults: run, check, load, report, sweep",
+	c.AddCommand(&cobra.Command{Use: "lab VERB", Short: "Try designs and faults: run, check, load, report, sweep, stand-ins",
 		Long: `Passes its words on to the laboratory's own program, fawnplank-lab, which lies beside this one: plots and
 stand-ins are no part of a front door, whose memory is bounded.`,
 		Example:            "  fawnplank lab run lab/scenarios/calm.toml\n  fawnplank lab --help",
--- a/internal/lab/plots/plots.go
+++ b/internal/lab/plots/plots.go
@@ -224,6 +224,14 @@
 		}
 		fmt.Fprintln(t)
 	}
+	seen := func(value func(*record.Run) string) func(*record.Run) string {
+		return func(r *record.Run) string {
+			if r.On == record.OnClients {
+				return "not seen by clients"
+			}
+			return value(r)
+		}
+	}
 	percent := func(part, all float64) string { return fmt.Sprintf("%.1f%%", 100*part/math.Max(all, 1)) }
 	row("run", title)
 	row("played on", func(r *record.Run) string {
@@ -240,14 +248,14 @@
 	row("p50, p90, p99, p99.9, most, ms", func(r *record.Run) string {
 		return fmt.Sprintf("%.1f, %.1f, %.1f, %.1f, %.1f", r.Total.P50, r.Total.P90, r.Total.P99, r.Total.P999, r.Total.Most)
 	})
-	row("shots a fulfilled try", func(r *record.Run) string {
+	row("shots a fulfilled try", seen(func(r *record.Run) string {
 		return fmt.Sprintf("%.3f", float64(r.Total.Shots)/math.Max(float64(r.Total.Fulfilled), 1))
-	})
-	row("counter calls, failed", func(r *record.Run) string { return fmt.Sprint(r.Total.Calls, ", ", r.Total.Failed) })
-	row("drift: had more, had less", func(r *record.Run) string {
+	}))
+	row("counter calls, failed", seen(func(r *record.Run) string { return fmt.Sprint(r.Total.Calls, ", ", r.Total.Failed) }))
+	row("drift: had more, had less", seen(func(r *record.Run) string {
 		over, under := r.Drift()
 		return fmt.Sprintf("%.1f%%, %.1f%%", 100*over, 100*under)
-	})
+	}))
 	row("load tool's lag p50, p99, ms", func(r *record.Run) string { return fmt.Sprintf("%.2f, %.2f", r.LagP50, r.LagP99) })
 	row("rules 1 to 5 broken", func(r *record.Run) string {
 		return fmt.Sprint(r.Rules["1"], ", ", r.Rules["2"], ", ", r.Rules["3"], ", ", r.Rules["4"], ", ", r.Rules["5"])
--- a/internal/lab/record/record.go
+++ b/internal/lab/record/record.go
@@ -16,6 +16,9 @@
 	"fawnplank/policy"
 )
 
+// OnClients is where a run was played of which only the clients' side was seen: no shots, calls or quotas.
+const OnClients = "clients"
+
 // Version is of the form of a run's file; another one is refused.
 const Version = 1
 
--- a/internal/lab/rig/rig.go
+++ b/internal/lab/rig/rig.go
@@ -88,7 +88,7 @@
 	}()
 	var addresses []string
 	for n := range s.Doors.Count {
-		address, err := free()
+		address, err := FreeAddress()
 		if err != nil {
 			return nil, err
 		}
@@ -155,9 +155,9 @@
 	return run, ctx.Err()
 }
 
-// free finds an address that nobody listens on: on a loopback address of its own, since the ports of 127.0.0.1 are
+// FreeAddress finds an address that nobody listens on: on a loopback address of its own, since the ports of 127.0.0.1 are
 // taken by others' connections between the moment it is found and the moment it is used.
-func free() (string, error) {
+func FreeAddress() (string, error) {
 	l, err := net.Listen("tcp4", fmt.Sprintf("127.%d.%d.%d:0", 1+rand.IntN(250), rand.IntN(250), 1+rand.IntN(250)))
 	if err != nil {
 		return "", err
