The share stands for the store only once a window has told nothing

At a turn behind an open breaker what the share holds took the place of what was heard, and breakers open for a second or two in bursts.

Change: only where nothing was heard in the window that ends; what is known is checked as before.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -192,7 +192,7 @@
 	c.known = max(c.known+c.owed-c.plan.Rate*float64(start-c.start)/float64(sec), 0)
 	if !c.close {
 		c.known = 0
-	} else if open { // nothing was heard: what this door's share holds stands for its part of the store
+	} else if open && c.heard == 0 { // nothing was told: what this door's share holds stands for its part of the store
 		c.known = max(c.spent/c.part(entries)-c.plan.Rate*float64(start-c.at)/float64(sec), 0)
 	}
 	c.owed = 0 // what a long silence left owing has been refilled since, but for what is carried
@@ -217,7 +217,7 @@
 	switch {
 	case !t.profile.CountsOnly && g.pick(now, t, 1) == nil:
 		t.end(now, t.profile.Promised/8) // no backend has room: counted, it would shut others of the customer out
-	case g.fails < breakAt && c.known+t.units > c.plan.quota+c.refilled(now, c.start)+slop:
+	case c.known+t.units > c.plan.quota+c.refilled(now, c.start)+slop:
 		c.learn(0)
 		t.beyond(now) // spent as far as is known: no call can say otherwise
 	case !g.mayCall(now):
