--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -30,8 +30,6 @@
 	// patience is how long an answer may be late before the call is made anew: what discovery has to tell
 	// counts as told two seconds after a wait ends.
 	patience = time.Second
-	// again is the pause after a failed call: shorter than the 200 ms in which a watch goes on.
-	again = 100 * time.Millisecond
 	// mostBytes bounds a list: some ten thousand lines.
 	mostBytes = 4 << 20
 )
@@ -51,7 +49,6 @@
 type Client struct {
 	told      Told
 	addresses Addresses
-	onRequest bool
 	http      http.Client // of its own: the usual one asks the environment for proxies
 	zones     words[policy.ZoneID]
 	ids       map[string]policy.BackendID
@@ -80,6 +77,9 @@
 	return id
 }
 
+// errRefused says that discovery has no room for the call.
+var errRefused = errors.New("refused")
+
 // ipv4 dials over IPv4 alone: a name such as localhost may stand for ::1 too, and the fleet's hosts have IPv4 only.
 var ipv4 = tcp4{}
 
@@ -92,7 +92,7 @@
 // New makes a client.
 func New(told Told, addresses Addresses, s *config.Start) *Client {
 	c := &Client{told: told, addresses: addresses, base: baseOf(s.Discovery),
-		onRequest: s.Terms.ListOnRequest, wanted: make(chan struct{}, 1),
+		wanted: make(chan struct{}, 1),
 		http: http.Client{Transport: &http.Transport{IdleConnTimeout: time.Minute, DisableCompression: true,
 			DialContext: ipv4.DialContext}},
 		zones: words[policy.ZoneID]{},
@@ -234,14 +234,15 @@
 		c.moves++
 		if c.give != nil {
 			c.give()
+			c.Follow() // it may be waiting for the decisions to ask again, after a failure at the old address
 		}
 	}
 }
 
 func baseOf(address string) string { return "http://" + address + "/v1/endpoints" }
 
-// Follow asks for the list and its changes from now on. Where the list must be asked for, a failure is told,
-// and the decisions say when to ask again; elsewhere the client asks again by itself.
+// Follow asks for the list and its changes from now on. A failure is told, and the decisions say when to ask
+// again: many doors that fail together must not ask together.
 func (c *Client) Follow() {
 	c.begin.Do(func() { go c.run() })
 	select {
@@ -274,12 +275,11 @@
 			if err == nil {
 				continue
 			}
-			whole = true // the watch is broken
-			if c.onRequest {
-				c.told.Backends(policy.ListFailed, nil)
-				break
-			}
-			time.Sleep(again)
+			// The watch is broken, and what the lost answer told with it. A refusal tells that the call was not
+			// taken up: the version that the door has stands, and what is new since is less than the whole list.
+			whole = whole || !errors.Is(err, errRefused)
+			c.told.Backends(policy.ListFailed, nil)
+			break
 		}
 	}
 }
@@ -315,7 +315,11 @@
 	if err != nil {
 		return err
 	}
-	if answer.StatusCode != http.StatusOK {
+	switch answer.StatusCode {
+	case http.StatusOK:
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+		return fmt.Errorf("%w: %s", errRefused, answer.Status)
+	default:
 		return errors.New(answer.Status)
 	}
 	l, err := parse(text)
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -17,7 +17,7 @@
 func New(now int64, seed uint64, terms Terms, door Door) *Gate {
 	g := &Gate{door: door, terms: terms, chance: pcg.New(seed), born: now, backends: map[BackendID]*backend{},
 		calls: map[CountID][]*call{}, customers: map[CustomerID]*customer{},
-		askAgain: 500 * ms, part: 1}
+		askAgain: 200 * ms, part: 1}
 	g.Retune(terms)
 	if terms.ListOnRequest {
 		door.Follow()
@@ -482,8 +482,7 @@
 	t.send(now)
 }
 
-// send sends a shot to the best backend, or gives the transaction up: waiting for room gains nothing, since
-// the client may find it at another door.
+// send sends a shot to the best backend, or gives the transaction up: the client may find room elsewhere.
 func (t *Transaction) send(now int64) {
 	if t.profile.CountsOnly {
 		t.inside, t.drawn = false, 0 // nothing is sent, and what was counted stays
@@ -678,11 +677,12 @@
 // Backends brings the list of backends, or changes to it.
 func (g *Gate) Backends(now int64, how Listing, list []Listed) {
 	if how == ListFailed {
-		g.at(now+g.askAgain, nil, func(int64) { g.door.Follow() })
+		// Spread, and twice as late each time: doors that asked at once keep a crowded list shut to them all.
+		g.at(now+int64((1+g.chance.Float64())/2*float64(g.askAgain)), nil, func(int64) { g.door.Follow() })
 		g.askAgain = min(g.askAgain*2, max(g.terms.AskWithin/2, 500*ms))
 		return
 	}
-	g.askAgain = 500 * ms
+	g.askAgain = 200 * ms // at first half of it and more: a single spoilt answer must not leave the list old
 	if how != Changes {
 		for _, b := range g.listed {
 			b.ready, b.gone = false, true
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -602,6 +602,36 @@
 	}
 }
 
+// Failure: doors refused by an overbooked discovery asked again all at once, ten times a second, and none got in.
+func TestDoorsThatFailTogetherAskApart(t *testing.T) {
+	terms, asked := plainTerms(), map[int64]int{}
+	terms.AskWithin = 10 * sec
+	first, calls := int64(0), 0
+	for seed := range 80 {
+		d := newDesk(t, terms, ready(1)...)
+		d.g.chance = pcg.New(uint64(seed))
+		for d.now < 1010*sec {
+			n := d.follows
+			d.list(ListFailed)
+			for d.follows == n {
+				d.pass(4 * ms)
+			}
+			if calls++; n == 0 {
+				asked[d.now]++
+				first = max(first, d.now-1000*sec)
+			}
+		}
+	}
+	for at, n := range asked {
+		if n > 20 {
+			t.Errorf("%d of 80 doors ask again at %d", n, at)
+		}
+	}
+	if first > 250*ms || calls > 80*8 {
+		t.Errorf("the last of the doors asks %d ns after the failure; %d calls in ten seconds", first, calls)
+	}
+}
+
 // Failure: an even share met customers who gather at one front door early in a silence.
 func TestShareFollowsTheDoorsPartOfTheTraffic(t *testing.T) {
 	d := newDesk(t, plainTerms(), ready(1, 2, 3)...)
