An overbooked discovery is asked ever more seldom, spread, and for changes alone

Checked by probes, each with every call logged: with calls spread thin (a door every 0 to 20 s) a whole list took 190 ms, one after another, and what had waited 2.0 s was refused; asked for changes, 50 to 100 ms. Waits of 2, 20 and 20,000 ms, patience of 1 to 6 s and polls made no difference while all doors asked at once: the line was always full of calls answered too late, which are worked at all the same.

At fault: discovery.run asked for the whole list after a refusal, call gave a whole list one second (48 of 48 calls taken up were given up by ourselves), waitMs had each door ask every two seconds (80 doors: 40 calls a second for 20), and Gate.Backends asked again without chance, so that doors that failed together came back together.

Change: a refusal keeps the version, so what is new is asked for; a door with a list starts from its version; a whole list has a watch's patience; where lists are asked for a watch waits as long as the settings let a door go without asking; the wait after a failure is spread by chance, triples, and goes up to that time.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -24,11 +24,14 @@
 )
 
 const (
-	// waitMs is how long a watch waits for news. One whose answer was lost on the way looks like one without
-	// news until it ends: so long, and patience, the list may be old without anybody knowing. A call costs little.
-	waitMs = 2000
-	// patience is how long an answer may be late before the call is made anew: what discovery has to tell
-	// counts as told two seconds after a wait ends.
+	// watch is how long a watch waits for news. One whose answer was lost on the way looks like one without
+	// news until it ends: so long, and patience, the list may be old without anybody knowing. A call costs little
+	// where changes come unasked; where each asking is work for discovery, a watch waits the time that the settings
+	// say for askings, or the calls of many doors alone would be more than it can answer.
+	watch = 2 * time.Second
+	// patience is how long an answer may be late before the call is made anew: what discovery has to tell counts as
+	// told two seconds after a wait ends. The whole list has the time of a watch: given up earlier, it
+	// keeps its place in a crowded discovery's line, and the next call waits behind it.
 	patience = time.Second
 	// mostBytes bounds a list: some ten thousand lines.
 	mostBytes = 4 << 20
@@ -59,6 +62,7 @@
 	begin     sync.Once
 	wanted    chan struct{}
 	index     int64
+	wait      time.Duration // of a watch, at discovery
 	mu        sync.Mutex
 	base      string
 	moves     int                // how often the address changed
@@ -92,12 +96,15 @@
 // New makes a client.
 func New(told Told, addresses Addresses, s *config.Start) *Client {
 	c := &Client{told: told, addresses: addresses, base: baseOf(s.Discovery),
-		wanted: make(chan struct{}, 1),
+		wanted: make(chan struct{}, 1), wait: watch,
 		http: http.Client{Transport: &http.Transport{IdleConnTimeout: time.Minute, DisableCompression: true,
 			DialContext: ipv4.DialContext}},
 		zones: words[policy.ZoneID]{},
 		ids:   map[string]policy.BackendID{}, names: map[policy.BackendID]string{},
 		listed: map[policy.BackendID]bool{}, draining: map[policy.BackendID]bool{}}
+	if s.Terms.ListOnRequest {
+		c.wait = max(watch, time.Duration(s.Terms.AskWithin))
+	}
 	for _, z := range s.Zones {
 		c.zones.id(z)
 	}
@@ -252,7 +259,7 @@
 }
 
 func (c *Client) run() {
-	whole, failed, moves := true, false, 0
+	whole, failed, moves := len(c.listed) == 0, false, 0 // with a list, however old, what is new since is enough
 	for {
 		<-c.wanted
 		for {
@@ -293,12 +300,12 @@
 		}
 	}()
 	c.mu.Lock()
-	url, wait := c.base, time.Duration(0)
+	url, within := c.base, watch
 	if *whole = *whole || *moves != c.moves; !*whole {
-		url, wait = fmt.Sprintf("%s?index=%d&wait=%d", c.base, c.index, waitMs), waitMs*time.Millisecond
+		url, within = fmt.Sprintf("%s?index=%d&wait=%d", c.base, c.index, c.wait.Milliseconds()), c.wait
 	}
 	*moves = c.moves
-	ctx, cancel := context.WithTimeout(context.Background(), wait+patience)
+	ctx, cancel := context.WithTimeout(context.Background(), within+patience)
 	c.give = cancel
 	c.mu.Unlock()
 	defer cancel()
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -61,7 +61,7 @@
 		}
 	}))
 	t.Cleanup(s.CloseClientConnections)
-	e := &ear{make(chan told, 100), map[policy.BackendID]string{}}
+	e := &ear{told: make(chan told, 100), known: map[policy.BackendID]string{}}
 	start := &config.Start{Discovery: strings.TrimPrefix(s.URL, "http://"), Zones: []string{"b", "a"}}
 	return New(e, e, start), e, calls
 }
@@ -158,13 +158,17 @@
 }
 
 func TestKnownListServesFirst(t *testing.T) {
-	c, e, _ := serve(t)
+	c, e, calls := serve(t)
 	if err := c.Known([]byte(lines(4, true, entry("x", "up")))); err != nil {
 		t.Fatal(err)
 	}
 	if got := e.next(t); got.how != policy.Cached || len(got.known) != 1 {
 		t.Errorf("%+v", got)
 	}
+	c.Follow()
+	if got := <-calls; got != "/v1/endpoints?index=4&wait=2000" {
+		t.Errorf("a door with a list asks for %s", got)
+	}
 	err := Check([]byte(`{"endpoints":[{"name":"","address":"a:1"}]}`))
 	if err == nil || !strings.Contains(err.Error(), "known") {
 		t.Errorf("%v", err)
@@ -229,6 +233,15 @@
 	}
 }
 
+// Failure: where each asking is work for discovery, the watches of two seconds of many doors were more than it answers.
+func TestWatchIsLongWhereListsAreAskedFor(t *testing.T) {
+	start := &config.Start{Discovery: "127.0.0.1:1"}
+	start.Terms.ListOnRequest, start.Terms.AskWithin = true, 10e9
+	if c := New(nil, nil, start); c.wait != 10*time.Second {
+		t.Errorf("a watch waits %v", c.wait)
+	}
+}
+
 // Failure: a watch whose answer never came left the list old for twenty seconds.
 func TestSilentWatchIsMadeAnewSoon(t *testing.T) {
 	c, e, calls := serve(t, lines(4, true, entry("s-1", "up")))
--- a/internal/facade/facade.go
+++ b/internal/facade/facade.go
@@ -181,8 +181,8 @@
 		}
 		for _, id := range slices.Sorted(maps.Keys(f.open)) {
 			for _, s := range f.open[id].shots {
-				if stage, listed := stages[s.Backend]; (listed && stage != policy.Ready ||
-					!listed && how != policy.Changes && how != policy.ListFailed) && s.state.Load() == waiting {
+				if stage, listed := stages[s.Backend]; (listed && stage != policy.Ready || !listed &&
+					(how == policy.Whole || how == policy.Cached)) && s.state.Load() == waiting {
 					s.stop(policy.Moot)
 				}
 			}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -411,12 +411,6 @@
 	return t.customer.granted.blend((1+t.plan.granted.blend(part, 1))/2, 1)
 }
 
-// learn notes what part of a transaction the count let in.
-func (c *customer) learn(in float64) {
-	c.granted.add(in, 4) // few: customers change in seconds
-	c.plan.granted.add(in, 50)
-}
-
 // allowance is the door's share of a window, at least the transaction's units, and reckons what of it has
 // been refilled. Traffic is not spread evenly, least of all a few transactions over many doors: a share of a
 // fraction of one refills the quicker the less a unit beyond the quota costs. Two and a half times at the
@@ -582,14 +576,6 @@
 	}
 }
 
-// Started tells that a stream's answer has begun: the client owns that shot now.
-func (t *Transaction) Started(now int64, n ShotID) {
-	t.started = true
-	if int(n) < len(t.shots) {
-		t.shots[n].to.heard = now
-	}
-}
-
 // Settled tells how a shot ended. over says that the transaction is finished; trueUnits is what it really
 // counted, if that is told afterwards.
 func (t *Transaction) Settled(now int64, n ShotID, o Outcome, elapsed int64, over bool, trueUnits float64) {
@@ -632,9 +618,6 @@
 	}
 }
 
-// Done says that nothing more will come for this handle.
-func (t *Transaction) Done() bool { return t.over && t.out == 0 }
-
 // end is the only place that gives the final answer: a dismissal where that may promise no harm, with advice
 // to come back after the time again, or else a break-off.
 func (t *Transaction) end(now, again int64) {
@@ -677,12 +660,17 @@
 // Backends brings the list of backends, or changes to it.
 func (g *Gate) Backends(now int64, how Listing, list []Listed) {
 	if how == ListFailed {
-		// Spread, and twice as late each time: doors that asked at once keep a crowded list shut to them all.
+		// Ever later, and spread by chance: else the doors fill a crowded discovery's line with calls that it answers
+		// too late, and none ever hears. A door that was refused counts as told only long after AskWithin.
 		g.at(now+int64((1+g.chance.Float64())/2*float64(g.askAgain)), nil, func(int64) { g.door.Follow() })
-		g.askAgain = min(g.askAgain*2, max(g.terms.AskWithin/2, 500*ms))
+		most := sec // where changes come unasked, nothing is gained by waiting for longer
+		if g.terms.ListOnRequest {
+			most = max(g.terms.AskWithin, 500*ms)
+		}
+		g.askAgain = min(g.askAgain*3, most)
 		return
 	}
-	g.askAgain = 200 * ms // at first half of it and more: a single spoilt answer must not leave the list old
+	g.askAgain = 200 * ms // half of it is within what continues a watch
 	if how != Changes {
 		for _, b := range g.listed {
 			b.ready, b.gone = false, true
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -5,6 +5,7 @@
 	rand1 "math/rand"
 	"math/rand/v2"
 	"reflect"
+	"slices"
 	"strings"
 	"testing"
 	"testing/quick"
@@ -596,39 +597,56 @@
 	for range 5 {
 		n := d.follows
 		d.list(ListFailed)
-		if d.pass(5100 * ms); d.follows != n+1 {
+		if d.pass(10100 * ms); d.follows != n+1 {
 			t.Fatalf("asked %d times after a failure", d.follows-n)
 		}
 	}
 }
 
-// Failure: doors refused by an overbooked discovery asked again all at once, ten times a second, and none got in.
-func TestDoorsThatFailTogetherAskApart(t *testing.T) {
-	terms, asked := plainTerms(), map[int64]int{}
-	terms.AskWithin = 10 * sec
-	first, calls := int64(0), 0
-	for seed := range 80 {
-		d := newDesk(t, terms, ready(1)...)
-		d.g.chance = pcg.New(uint64(seed))
-		for d.now < 1010*sec {
-			n := d.follows
-			d.list(ListFailed)
-			for d.follows == n {
-				d.pass(4 * ms)
+// Failure: doors refused by an overbooked discovery asked again all at once, and as often: its line was always full
+// of calls that it answered too late, and no door ever heard. Here it takes 20 calls a second, in turn, works
+// at those too that have waited for more than two seconds, and then refuses them.
+func TestOverbookedDiscoveryIsHeardByAll(t *testing.T) {
+	const doors, each, late, room = 80, sec / 20, 2 * sec, 50
+	terms := plainTerms()
+	terms.Doors, terms.ListOnRequest, terms.AskWithin = doors, true, 10*sec
+	desks, heard, next, told := make([]*desk, doors), make([]int, doors), make([]int64, doors), make([]int64, doors)
+	for n := range desks {
+		desks[n] = newDesk(t, terms, ready(1)...)
+		desks[n].g.chance = pcg.New(uint64(n))
+		desks[n].follows, next[n] = 0, desks[n].now // all ask at once
+	}
+	free := int64(0)
+	for now := 1000 * sec; now < 1060*sec; now += 4 * ms {
+		for n, d := range desks {
+			if d.pass(4 * ms); d.follows > 0 {
+				d.follows, next[n] = 0, now
 			}
-			if calls++; n == 0 {
-				asked[d.now]++
-				first = max(first, d.now-1000*sec)
+			if told[n] != 0 && now >= told[n] {
+				told[n] = 0
+				d.g.Backends(d.now, ListFailed, nil)
+			}
+			if next[n] == 0 || now < next[n] {
+				continue
+			}
+			free = max(free, now)
+			wait := free - now
+			if next[n] = 0; wait > room*each { // no room in the line
+				told[n] = now
+				continue
+			}
+			if free += each; wait+each > late { // answered too late
+				told[n] = now + late
+				continue
+			}
+			d.g.Backends(d.now, Changes, nil)
+			if next[n] = now + 10*sec; now > 1020*sec { // a watch without news
+				heard[n]++
 			}
 		}
 	}
-	for at, n := range asked {
-		if n > 20 {
-			t.Errorf("%d of 80 doors ask again at %d", n, at)
-		}
-	}
-	if first > 250*ms || calls > 80*8 {
-		t.Errorf("the last of the doors asks %d ns after the failure; %d calls in ten seconds", first, calls)
+	if least := slices.Min(heard); least < 3 {
+		t.Errorf("in 40 s a door heard %d times", least)
 	}
 }
 
--- a/policy/state.go
+++ b/policy/state.go
@@ -91,7 +91,7 @@
 	resume        int64   // when a tripped breaker lets a trial call pass
 	trial         bool    // the trial call is out
 	part          float64 // of the transactions that call, while a crowded counter answers only some
-	askAgain      int64   // wait before the list is asked for again
+	askAgain      int64   // longest wait before the list is asked for again after a failure
 }
 
 // customer is what this door knows of a customer: of its quota, and of the limits that the door holds by
@@ -308,6 +308,23 @@
 	})
 }
 
+// Started tells that a stream's answer has begun: the client owns that shot now.
+func (t *Transaction) Started(now int64, n ShotID) {
+	t.started = true
+	if int(n) < len(t.shots) {
+		t.shots[n].to.heard = now
+	}
+}
+
+// Done says that nothing more will come for this handle.
+func (t *Transaction) Done() bool { return t.over && t.out == 0 }
+
+// learn notes what part of a transaction the count let in.
+func (c *customer) learn(in float64) {
+	c.granted.add(in, 4) // few: customers change in seconds
+	c.plan.granted.add(in, 50)
+}
+
 // task is something to do at its time, unless while (where there is one) says by then that it is needless.
 type task struct {
 	while *bool
