Turns at cold backends hold for half a span, and count what warm ones are seen to answer

What a door does that is harmless alone: it takes a turn at a cold backend if it has something to send while the turn's number is up, a quarter of a second at 80 doors with three let in a second each. Together they let two thirds of the turns go by. What it learns too late: that the fleet's capacity fell, and that cold ones have no line: their answer time was reckoned as the fleet's mean, which the jam of the old ones sets, so that none was allowed.

Change, in coldRoom: a turn holds for half a span; for that a third of the multiple is numbered instead of a half (half in all, as before). The pace seen counts in full, and is divided over the backends as far as they are warm (it was over all, which cold ones thin out). A cold one's answer time is the quiet one.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -54,7 +54,7 @@
 func (g *Gate) tick(now int64) {
 	g.pace, g.answers = g.pace+0.1*(g.answers*10-g.pace), 0 // over about a second
 	// What a backend is seen to answer, over ten seconds, and the most of that: a jam takes none of it away.
-	g.seen += 0.01 * (g.pace*float64(max(g.terms.Doors, 1))/float64(max(len(g.ranked), 1)) - g.seen)
+	g.seen += 0.01 * (g.pace*float64(max(g.terms.Doors, 1))/max(g.whole, 1) - g.seen)
 	g.can = max(g.can*0.999, g.seen)
 	if g.firsts >= early/2 {
 		// Falls with a quicker fleet in a second, and rises with a slower one in about a minute; in two seconds
@@ -663,11 +663,9 @@
 		// Ever later, and spread by chance: else the doors fill a crowded discovery's line with calls that it answers
 		// too late, and none ever hears. A door that was refused counts as told only long after AskWithin.
 		g.at(now+int64((1+g.chance.Float64())/2*float64(g.askAgain)), nil, func(int64) { g.door.Follow() })
-		most := sec // where changes come unasked, nothing is gained by waiting for longer
-		if g.terms.ListOnRequest {
-			most = max(g.terms.AskWithin, 500*ms)
+		if g.terms.ListOnRequest { // elsewhere an asking is no work to anybody
+			g.askAgain = min(g.askAgain*3, max(g.terms.AskWithin, 500*ms))
 		}
-		g.askAgain = min(g.askAgain*3, most)
 		return
 	}
 	g.askAgain = 200 * ms // half of it is within what continues a watch
@@ -721,15 +719,17 @@
 // far as it was measured: many doors see little of each. Limits follow it. A cold one has its budget alone,
 // and goes first: its turns are few, and work may be what warms it.
 func (g *Gate) rank(now int64) {
-	g.ranked = g.ranked[:0]
+	g.ranked, g.whole = g.ranked[:0], 0
 	for _, b := range g.listed {
 		if !b.ready {
 			continue
 		}
-		g.ranked = append(g.ranked, b)
+		g.ranked, g.whole = append(g.ranked, b), g.whole+g.warmth(now, b)
 		usual := g.all.value
 		if b.late = usual; !g.cold(now, b) {
 			b.late = b.pace.blend(usual, 3)
+		} else if g.firsts >= early/2 {
+			b.late = min(usual, g.quick) // within its turns there is no line, however full the warm ones are
 		}
 		b.key = math.Round(2 * math.Log2(max(b.late, 1)/max(usual, 1)))
 		b.limit = min(max(math.Exp2(-b.key/2), 0.25), 2) // in steps too, or chance alone would lift one over it
@@ -748,7 +748,7 @@
 }
 
 // each is a door's part of one shot at each backend.
-func (g *Gate) each() float64 { return float64(len(g.ranked)) / float64(max(g.terms.Doors, 1)) }
+func (g *Gate) each() float64 { return g.whole / float64(max(g.terms.Doors, 1)) }
 
 // load is how full one more shot would make the backend, as a share of its limit.
 func (b *backend) load() float64 { return float64(b.out+1) / b.limit }
@@ -760,7 +760,7 @@
 // so many doors stop by themselves before late answers come. Hurts where traffic rises many times a second.
 func (g *Gate) pick(now int64, t *Transaction, haste float64) *backend {
 	var best *backend
-	// What its units take beyond the mean is known, and leaves less of the time.
+	// What its units take beyond the mean leaves less of the time.
 	least, most := math.Inf(1), (float64(t.promised-now)-(g.stretch(t.units)-1)*g.all.value)/2.5
 	if g.firsts >= early/2 {
 		most = min(most, 2.5*g.quick)
@@ -869,12 +869,22 @@
 	return b.started > 0 && now-b.started < g.terms.WarmUp
 }
 
-// coldRoom keeps the doors together within what a cold backend bears: half the multiple, since transactions
-// differ in work, of what a warm one does: at least one core's, with half as much again as the quiet answer
-// time for work, for slower ones; more as far as warm ones are seen to, by this door and all alike. Its shots
-// are numbered from its start and go to the doors in turn, one each; what one leaves unused is lost. So the
-// sum holds for any number of doors without a word between them. A door that has itself just started waits a
-// span: its earlier life may have sent much.
+// warmth is the part of its capacity that a backend has by now, reckoned from its start: an even warm-up.
+func (g *Gate) warmth(now int64, b *backend) float64 {
+	if !g.cold(now, b) {
+		return 1
+	}
+	risen := float64(max(now-b.started-g.terms.FallSpan, 0))
+	return g.terms.ColdShare + (1-g.terms.ColdShare)*risen/float64(g.terms.WarmUp)
+}
+
+// coldRoom keeps the doors together within half the multiple of what a cold backend bears, since transactions
+// differ in work: a third for each span, of what a warm one does: at least one core's, with half as much again
+// as the quiet answer time for work, for slower ones; more as far as warm ones are seen to, by this door and
+// all alike. Its shots are numbered from its start and go to the doors in turn, one each. A turn holds for
+// half a span, which the rest of the half is for: a door of a large fleet has seldom something to send just
+// then, and most turns were lost. So the sum holds for any number of doors without a word between them. A door
+// that has itself just started waits a span: its earlier life may have sent much.
 func (t *Transaction) coldRoom(now int64, b *backend) bool {
 	g := t.gate
 	if !g.cold(now, b) {
@@ -885,14 +895,13 @@
 		work = g.quick * 1.5
 	}
 	age, risen := float64(now-b.started), float64(max(now-b.started-g.terms.FallSpan, 0))
-	doors := max(g.terms.Doors, 1)
-	rise := (1 - g.terms.ColdShare) / float64(g.terms.WarmUp)
-	rate := max(g.terms.FallMultiple/2/max(work, 1), min(g.terms.FallMultiple/2, 1)*g.can/float64(sec))
-	number := rate * (g.terms.ColdShare*age + rise*risen*risen/2)
+	rate, doors := g.terms.FallMultiple/3*max(1/max(work, 1), g.can/float64(sec)), float64(max(g.terms.Doors, 1))
+	number := rate * (g.terms.ColdShare*age + (g.warmth(now, b)-g.terms.ColdShare)*risen/2)
+	first := float64((mix(uint64(b.id)) + uint64(doors) - uint64(g.terms.Me)) % uint64(doors))
+	since, pace := math.Mod(math.Floor(number)+first, doors), rate*g.warmth(now, b)
 	// Three quarters of the time between a door's turns: a change in what is measured shifts the numbers.
-	return now-g.born >= g.terms.FallSpan &&
-		(mix(uint64(b.id))+uint64(min(number, 1e15)))%uint64(doors) == uint64(g.terms.Me%doors) &&
-		(b.turn == 0 || float64(now-b.turn)*rate*(g.terms.ColdShare+rise*risen) >= 0.75*float64(doors))
+	return now-g.born >= g.terms.FallSpan && since < max(1, pace*float64(g.terms.FallSpan)/2) &&
+		(b.turn == 0 || float64(now-b.turn)*pace >= 0.75*doors)
 }
 
 // stretch is how much longer than the mean one a transaction of so many units takes, as far as was seen: a
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -956,6 +956,45 @@
 	}
 }
 
+// Failure: of the turns that doors of a large fleet have at a cold backend most were lost, since few had something to
+// send in the moment of their turn; and where the warm ones were full, so that all seemed slow, none was used.
+func TestMostTurnsAtAColdBackendAreUsed(t *testing.T) {
+	sent, second := 0, map[int64]float64{}
+	for me := range 80 {
+		terms := plainTerms()
+		terms.Me, terms.Doors, terms.Counter, terms.FallMultiple = me, 80, false, 4
+		terms.FallSpan, terms.WarmUp = 2*sec, 20*sec
+		d := newDesk(t, terms, ready(10, 11, 12, 13, 14, 15, 16, 17)...)
+		d.pass(int64(me) * 5 * ms)
+		for n := 0; d.now < 1035*sec; n++ {
+			x := d.take(TransactionID(n), 0, 0, CustomerID(n), 2*sec, 1)
+			if d.pass(200 * ms); len(x.shots) > 0 {
+				d.settle(x, 0, Fulfilled)
+			}
+			d.pass(200 * ms)
+			if len(d.state) == 8 && d.now >= 1019*sec {
+				d.list(Changes, Listed{Backend: 3, Stage: Ready, Size: 1, Started: 1019 * sec})
+			}
+			if d.now >= 1025*sec { // a jam: as if all had answered late
+				d.g.all.value = 0.45 * float64(sec)
+			}
+		}
+		for _, at := range d.sends[3] {
+			second[at/sec]++
+			sent++
+		}
+	}
+	if sent < 150 { // fifteen as it was
+		t.Errorf("eighty doors sent a cold backend %d shots", sent)
+	}
+	for at, n := range second {
+		// Half of four times the share, from 0.2 to 0.76, of the 25 a second that a warm one answers, in two seconds.
+		if n += second[at+1]; n > 4*(0.2+0.04*float64(max(at-1021, 0)))*25 {
+			t.Errorf("rule 4: %.0f shots in the two seconds from %d on", n, at)
+		}
+	}
+}
+
 // A profile that only counts: granted while there is room, dismissed beyond it, and nothing is ever sent. What was
 // granted stays counted, with the counter and without; what was not leaves nothing behind.
 func TestAQuestionIsCountedAndNothingIsSent(t *testing.T) {
