Doors that start together first ask for the list one after another

Discovery answers some 12 to 20 calls a second and refuses what has waited for two; the 56 at once are more, and afterwards those that were heard ask at every change of the release.

Checked: the wait after a refusal (0.2 s, tripling, spread) is in the logs as decided; the refused never got in between the others' calls. At fault: policy.New asked at once.

Change: where lists are asked for, the first asking comes by chance within 50 ms for each other door, at most half of AskWithin; one door asks at once, three within 0.1 s.

--- a/internal/facade/facade_test.go
+++ b/internal/facade/facade_test.go
@@ -302,6 +302,7 @@
 	asking := terms
 	asking.ListOnRequest, asking.AskWithin = true, 10e9
 	run(t, 1, asking, func(w *world) {
+		time.Sleep(500 * time.Millisecond) // far more than a few doors take to ask one after another
 		if n := w.follows.Load(); n != 1 {
 			t.Errorf("followed %d times", n)
 		}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -19,8 +19,9 @@
 		calls: map[CountID][]*call{}, customers: map[CustomerID]*customer{},
 		askAgain: 200 * ms, part: 1}
 	g.Retune(terms)
-	if terms.ListOnRequest {
-		door.Follow()
+	if terms.ListOnRequest { // many doors that start together ask one after another, as long as an asking may take
+		apart := min(int64(terms.Doors-1)*50*ms, terms.AskWithin/2)
+		g.at(now+int64(g.chance.Float64()*float64(apart)), nil, func(int64) { door.Follow() })
 	}
 	g.tick(now)
 	return g
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -594,6 +594,8 @@
 	terms := plainTerms()
 	terms.ListOnRequest, terms.AskWithin = true, 10*sec
 	d := newDesk(t, terms, ready(1)...)
+	for d.pass(8 * ms); d.follows == 0; d.pass(8 * ms) { // the first asking
+	}
 	for range 5 {
 		n := d.follows
 		d.list(ListFailed)
@@ -650,6 +652,29 @@
 	}
 }
 
+// Failure: 56 doors killed at once asked for the list in the instant of their start, and the 34 that discovery did not
+// answer within two seconds heard nothing for the next sixteen. A few doors still ask at once.
+func TestDoorsThatStartTogetherAskApart(t *testing.T) {
+	for _, x := range []struct {
+		doors     int
+		from, end int64 // of their askings
+	}{{80, 2 * sec, 5 * sec}, {3, 0, 150 * ms}} {
+		first, last := int64(math.MaxInt64), int64(0)
+		for me := range x.doors {
+			terms := plainTerms()
+			terms.Me, terms.Doors, terms.ListOnRequest, terms.AskWithin = me, x.doors, true, 10*sec
+			d := &desk{t: t, terms: terms, now: 1000 * sec, state: map[BackendID]Listed{}, taken: map[TransactionID]*taken{}}
+			for d.g = New(d.now, uint64(me), terms, d); d.follows == 0 && d.now < 1010*sec; {
+				d.pass(4 * ms)
+			}
+			first, last = min(first, d.now-1000*sec), max(last, d.now-1000*sec)
+		}
+		if last-first < x.from || last > x.end {
+			t.Errorf("%d doors ask from %d to %d ns after their start", x.doors, first, last)
+		}
+	}
+}
+
 // Failure: an even share met customers who gather at one front door early in a silence.
 func TestShareFollowsTheDoorsPartOfTheTraffic(t *testing.T) {
 	d := newDesk(t, plainTerms(), ready(1, 2, 3)...)
