A whole list that names a backend twice is refused, and the last good one stands

Need: of two lines for one backend in a whole list the later one held without a word, whatever it said. The fleet's terms ask that bad input leave the last good state and be logged by name.

Change: discovery.parse refuses such a list by the backend's name; the watch is then asked for again as after any failure. Changes may name a backend twice and hold in their order. With a test that fails without it.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -154,7 +154,14 @@
 	if err := json.Unmarshal(text, &l); err != nil {
 		return nil, err
 	}
+	named := map[string]bool{}
 	for _, e := range l.Endpoints {
+		// Of two lines for one backend in a whole list nobody can tell which holds; the last good list stands. Changes may
+		// name one twice: they hold in their order.
+		if l.Snapshot && named[e.Name] {
+			return nil, fmt.Errorf("entry with name %q stands twice in a whole list", e.Name)
+		}
+		named[e.Name] = true
 		if _, _, err := net.SplitHostPort(e.Address); e.Name == "" || err != nil && e.Status != "removed" {
 			return nil, fmt.Errorf("entry with name %q and address %q", e.Name, e.Address)
 		}
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -233,6 +233,24 @@
 	}
 }
 
+// A whole list that names a backend twice is refused by name and the last good one stands; changes may do so.
+func TestWholeListThatNamesABackendTwiceIsRefused(t *testing.T) {
+	twice := []string{entry("s-1", "up"), entry("s-2", "up"), entry("s-1", "draining")}
+	if err := Check([]byte(lines(3, true, twice...))); err == nil || !strings.Contains(err.Error(), `"s-1" stands twice`) {
+		t.Errorf("%v", err)
+	}
+	c, e, _ := serve(t, lines(3, true, entry("s-1", "up")), lines(4, true, twice...), lines(5, false, twice...))
+	c.Follow()
+	e.next(t)
+	if got := e.next(t); got.how != policy.ListFailed || len(got.known) != 1 {
+		t.Errorf("%+v", got)
+	}
+	c.Follow()
+	if got := e.next(t); got.how != policy.Changes || len(got.list) != 3 {
+		t.Errorf("%+v", got)
+	}
+}
+
 // Failure: where each asking is work for discovery, the watches of two seconds of many doors were more than it answers.
 func TestWatchIsLongWhereListsAreAskedFor(t *testing.T) {
 	start := &config.Start{Discovery: "127.0.0.1:1"}
