--- a/cmd/fawnplank/main.go
+++ b/cmd/fawnplank/main.go
@@ -120,12 +120,18 @@
 	// and that answer must not wait for the same room. With the collector's three quarters that leaves a third
 	// for the rest.
 	pool.Room = room.New(start.MemoryBytes / 6)
-	f.Run(start.Seed, start.Terms, count, pool, list)
-	if err := list.Known(start.Known); err != nil {
-		return fmt.Errorf("configuration: %w", err)
+	names := &names{list: list, set: set}
+	if names.on() {
+		list.From(names.whole)
 	}
-	if !start.Terms.ListOnRequest {
-		list.Follow()
+	f.Run(start.Seed, start.Terms, count, pool, list)
+	if !names.on() { // a list of long ago must not stand beside the zone's
+		if err := list.Known(start.Known); err != nil {
+			return fmt.Errorf("configuration: %w", err)
+		}
+		if !start.Terms.ListOnRequest {
+			list.Follow()
+		}
 	}
 
 	keep := keepLearned(f, set)
@@ -142,11 +148,15 @@
 	}
 	served, stopped := make(chan error, 1), make(chan struct{})
 	go func() { served <- server.Serve(listener) }()
-	kept, edited, err := openStore(replica, path, operator)
+	kept, edited, err := openStore(replica, path, operator, names.changed)
 	if err != nil {
 		return err
 	}
 	defer kept.Close()
+	if err := names.start(kept, figures); err != nil {
+		return fmt.Errorf("operator file: dns: %w", err)
+	}
+	defer names.close()
 	d := &door{server: server, figures: figures}
 	if start.Mgmt != "" {
 		m, err := admin.New(start.Mgmt, d)
@@ -184,12 +194,14 @@
 					f.Retune(fresh.Terms)
 					server.Retune(fresh)
 					limits.Retune(limitNames(fresh, set))
+					names.reload()
 					figures.Classes(classes(fresh))
 					start = fresh
 				}
 			} else if !stopping {
 				stopping = true
 				d.ready.Store(false)
+				go names.close() // a process that takes over has the journal from here on
 				go func() {
 					stop(server, listener, start.Terms)
 					limits.Close()
@@ -243,7 +255,7 @@
 		logs.For("config").WithError(err).Error("not reloaded, the old configuration stays")
 		return nil
 	}
-	if *now != *set {
+	if !reflect.DeepEqual(now, set) {
 		logs.For("config").Warn("changes of the operator file take effect at a restart")
 		if _, on := start.LimitProfile(); on && now.Limits.Listen == "" {
 			fresh.AddLimits(set)
--- a/cmd/fawnplank/store.go
+++ b/cmd/fawnplank/store.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"slices"
 	"strings"
 	"syscall"
 	"time"
@@ -16,6 +17,7 @@
 	"github.com/spf13/cobra"
 
 	"fawnplank/internal/config"
+	"fawnplank/internal/dnsd"
 	"fawnplank/internal/logs"
 	"fawnplank/internal/store"
 )
@@ -59,8 +61,9 @@
 // place of ending the process.
 func fullDisks() { signal.Ignore(syscall.SIGXFSZ) }
 
-// openStore starts the replica, where there is one. Something comes on edited when a plan or class has changed.
-func openStore(f storeFlags, path, operator string) (*kept, chan struct{}, error) {
+// openStore starts the replica, where there is one. Something comes on edited when a plan or class has changed; zone is
+// called when a part of the zone has.
+func openStore(f storeFlags, path, operator string, zone func()) (*kept, chan struct{}, error) {
 	if f.dir == "" {
 		return nil, nil, nil
 	}
@@ -71,6 +74,9 @@
 	fullDisks()
 	edited := make(chan struct{}, 1)
 	o.Changed = func(keys []string) {
+		if slices.ContainsFunc(keys, func(k string) bool { return strings.HasPrefix(k, dnsd.Keys) }) {
+			zone()
+		}
 		for _, k := range keys {
 			if strings.HasPrefix(k, config.PlanKey) || strings.HasPrefix(k, config.ClassKey) {
 				select {
--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -7,8 +7,10 @@
 	"bytes"
 	"cmp"
 	"errors"
+	"fmt"
 	"math/bits"
 	"net"
+	"net/netip"
 	"runtime/debug"
 	"slices"
 	"strconv"
@@ -19,6 +21,7 @@
 	"fawnplank/internal/facade"
 	"fawnplank/internal/logs"
 	"fawnplank/internal/metrics"
+	"fawnplank/internal/reach"
 	"fawnplank/internal/resp"
 	"fawnplank/internal/room"
 	"fawnplank/internal/sock"
@@ -94,6 +97,9 @@
 // peer is one backend.
 type peer struct {
 	address string
+	// several, where set, are the addresses of one backend that has more than one, in the order to try them; the one
+	// that last came up is first, so that one that hangs costs its part of the time once and not at each connection.
+	several []netip.AddrPort
 	warm    []*conn // the latest used last
 	gone    bool
 }
@@ -134,6 +140,17 @@
 	}
 }
 
+// PlaceAny says where a backend listens that has more than one address.
+func (p *Pool) PlaceAny(b policy.BackendID, all []netip.AddrPort) {
+	order := reach.Order(all, reach.Reachable)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if name := fmt.Sprint(all); p.peers[b] == nil || p.peers[b].address != name {
+		p.drop(b)
+		p.peers[b] = &peer{address: name, several: order}
+	}
+}
+
 // Forget drops a backend that is gone. Shots out there stay out.
 func (p *Pool) Forget(b policy.BackendID) {
 	p.mu.Lock()
@@ -218,7 +235,7 @@
 
 // dial opens a connection and starts its reader. Its place was counted by take.
 func (p *Pool) dial(to *peer) (*conn, error) {
-	nc, err := sock.Dial(to.address, p.patient)
+	nc, err := p.reach(to)
 	if err != nil {
 		p.mu.Lock()
 		p.conns--
@@ -230,6 +247,23 @@
 	return c, nil
 }
 
+// reach opens a connection to a backend at one of its addresses.
+func (p *Pool) reach(to *peer) (*sock.Conn, error) {
+	p.mu.Lock()
+	order := to.several
+	p.mu.Unlock()
+	if len(order) == 0 {
+		return sock.Dial(to.address, p.patient)
+	}
+	nc, n, err := sock.DialAny(order, p.patient)
+	if err == nil && n > 0 {
+		p.mu.Lock()
+		to.several = append([]netip.AddrPort{order[n]}, slices.Concat(order[:n], order[n+1:])...)
+		p.mu.Unlock()
+	}
+	return nc, err
+}
+
 // write writes a shot, unless it was called off. What ends first, the writing or the connection, is sorted out
 // here: before the last byte was written nothing ran.
 func (c *conn) write(s *facade.Shot, command [][]byte) {
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -7,7 +7,9 @@
 	"slices"
 	"time"
 
+	"fawnplank/internal/dnsd"
 	"fawnplank/internal/tomlfile"
+	"fawnplank/internal/zone"
 	"fawnplank/policy"
 )
 
@@ -18,8 +20,32 @@
 	Counter CounterFormat `toml:"counter"`
 	Log     Log           `toml:"log"`
 	Learned Learned       `toml:"learned"`
+	DNS     DNS           `toml:"dns"`
 }
 
+// DNS is a zone that the list of backends comes from, in place of discovery.
+type DNS struct {
+	Zone    string   `toml:"zone_file"`          // master file; empty: off
+	Origin  string   `toml:"origin"`             // of the zone
+	Service string   `toml:"service"`            // the name of the SRV records
+	Journal string   `toml:"journal"`            // what updates have made of it, kept over a restart
+	Listen  string   `toml:"listen"`             // UDP and TCP, for updates, queries and transfers; empty: none
+	Rate    float64  `toml:"updates_per_second"` // at most
+	Notify  []string `toml:"notify"`             // secondaries to be told of changes
+	Keys    []DNSKey `toml:"key"`
+}
+
+// DNSKey is a TSIG key.
+type DNSKey struct {
+	Name      string   `toml:"name"`
+	Algorithm string   `toml:"algorithm"`
+	File      string   `toml:"secret_file"` // in base64, for its owner's eyes alone
+	Key       dnsd.Key `toml:"-"`
+}
+
+// Settings are the zone's.
+func (d DNS) Settings() zone.Settings { return zone.Settings{Origin: d.Origin, Service: d.Service} }
+
 // Learned is where a folder lasts: what the door learned of the backends is kept there over a restart.
 type Learned struct {
 	File  string   `toml:"file"`  // empty: off
@@ -62,12 +88,14 @@
 	defaultWithin      = Duration(750e6) // the promised time that users know
 	defaultEvery       = Duration(5e9)   // what is known of a backend fades by two thirds meanwhile
 	defaultConnections = 64              // tools, not customers
+	defaultUpdates     = 100             // a second: a fleet of thousands that is replaced within a minute
+	defaultAlgorithm   = "hmac-sha256"   // the one that every updater must know (RFC 8945, 6)
 )
 
 // ReadOperator reads an operator file whole and checks it; an empty path sets nothing. Errors name file, line and
 // key.
 func ReadOperator(path string) (*Operator, error) {
-	o := &Operator{Limits: Limits{Within: defaultWithin, Connections: defaultConnections}, Counter: CounterFormat{"text"}, Log: Log{"text", "info"}, Learned: Learned{Every: defaultEvery}}
+	o := &Operator{Limits: Limits{Within: defaultWithin, Connections: defaultConnections}, Counter: CounterFormat{"text"}, Log: Log{"text", "info"}, Learned: Learned{Every: defaultEvery}, DNS: DNS{Rate: defaultUpdates}}
 	if path == "" {
 		return o, nil
 	}
@@ -100,9 +128,63 @@
 	if o.Counter.Protocol != "text" && o.Counter.Protocol != "resp" {
 		return nil, f.Fault("counter.protocol", fmt.Sprintf("is %q, not text or resp", o.Counter.Protocol))
 	}
+	if err := o.DNS.check(f); err != nil {
+		return nil, err
+	}
 	return o, nil
 }
 
+// check goes through the settings of the zone, and reads the keys' secrets.
+func (d *DNS) check(f *tomlfile.File) (err error) {
+	if d.Zone == "" {
+		if f.Has("dns.listen") || f.Has("dns.journal") || f.Has("dns.origin") || f.Has("dns.service") || len(d.Keys) > 0 {
+			return f.Fault("dns.zone_file", "is missing")
+		}
+		return nil
+	}
+	set, err := d.Settings().Canonical()
+	if err != nil {
+		key := "dns.origin"
+		if _, origin := (zone.Settings{Origin: d.Origin, Service: d.Origin}).Canonical(); origin == nil {
+			key = "dns.service"
+		}
+		return f.Fault(key, err.Error())
+	}
+	d.Origin, d.Service = set.Origin, set.Service
+	if _, port, err := net.SplitHostPort(d.Listen); d.Listen != "" && (err != nil || port == "") {
+		return f.Fault("dns.listen", fmt.Sprintf("is %q, which is no host and port", d.Listen))
+	}
+	if !(d.Rate >= 0.1 && d.Rate <= 10000) {
+		return f.Fault("dns.updates_per_second", "is not from 0.1 to 10000")
+	}
+	for _, at := range d.Notify {
+		if _, port, err := net.SplitHostPort(at); err != nil || port == "" {
+			return f.Fault("dns.notify", fmt.Sprintf("has %q, which is no host and port", at))
+		}
+	}
+	names := map[string]bool{}
+	for n := range d.Keys {
+		k, at := &d.Keys[n], fmt.Sprintf("dns.key[%d]", n)
+		if k.Algorithm == "" {
+			k.Algorithm = defaultAlgorithm
+		}
+		if k.File == "" {
+			return f.Fault(at+".secret_file", "is missing")
+		}
+		if k.Key, err = dnsd.ReadKey(k.Name, k.Algorithm, k.File); err != nil {
+			return f.Fault(at, err.Error())
+		}
+		if names[k.Key.Name] {
+			return f.Fault(at+".name", fmt.Sprintf("is %q, which another key has", k.Name))
+		}
+		names[k.Key.Name] = true
+	}
+	if len(d.Keys) > 0 && d.Listen == "" {
+		return f.Fault("dns.listen", "is missing, and keys are of no use without it")
+	}
+	return nil
+}
+
 // limitProfile is the name of the profile that only counts. No class of the platform's settings can take it: theirs
 // have no point in their names.
 const limitProfile = "limit.check"
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -14,6 +14,7 @@
 	"math"
 	"net"
 	"net/http"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -45,6 +46,7 @@
 // Addresses is told where a backend listens.
 type Addresses interface {
 	Place(b policy.BackendID, address string)
+	PlaceAny(b policy.BackendID, all []netip.AddrPort)
 	Forget(b policy.BackendID)
 }
 
@@ -66,6 +68,8 @@
 	mu        sync.Mutex
 	base      string
 	moves     int                // how often the address changed
+	turn      sync.Mutex         // one list is told at a time, where another source tells them
+	other     func()             // has the other source tell its whole list; nil: the watch is the source
 	give      context.CancelFunc // gives the call that is out up
 }
 
@@ -111,19 +115,34 @@
 	return c
 }
 
+// Entry is a backend as a list has it.
+type Entry struct {
+	Name    string           `json:"name"`
+	Address string           `json:"address"`
+	Several []netip.AddrPort `json:"-"` // another source's: all addresses, where it is not one of IPv4 alone
+	Zone    string           `json:"zone"`
+	Group   uint16           `json:"group"`
+	Status  string           `json:"status"` // up, draining or removed
+	Weight  float64          `json:"weight"`
+	SinceMs float64          `json:"since_ms"`
+}
+
 // list is discovery's form of a list.
 type list struct {
-	Index     int64 `json:"index"`
-	Snapshot  bool  `json:"snapshot"`
-	Endpoints []struct {
-		Name    string  `json:"name"`
-		Address string  `json:"address"`
-		Zone    string  `json:"zone"`
-		Group   uint16  `json:"group"`
-		Status  string  `json:"status"`
-		Weight  float64 `json:"weight"`
-		SinceMs float64 `json:"since_ms"`
-	} `json:"endpoints"`
+	Index     int64   `json:"index"`
+	Snapshot  bool    `json:"snapshot"`
+	Endpoints []Entry `json:"endpoints"`
+}
+
+// From makes another source tell the lists, by Tell, in place of the watch; again has it tell the whole list. To be
+// called before Follow.
+func (c *Client) From(again func()) { c.other = again }
+
+// Tell tells what another source has: in the same form and by the same way as the watch's.
+func (c *Client) Tell(how policy.Listing, entries []Entry) {
+	c.turn.Lock()
+	defer c.turn.Unlock()
+	c.tell(how, &list{Endpoints: entries})
 }
 
 // Check says what is wrong with a list in discovery's form, such as the one in the configuration.
@@ -184,7 +203,11 @@
 		if stage == policy.Gone {
 			c.forget(lines[n].Backend)
 		} else {
-			c.addresses.Place(lines[n].Backend, e.Address)
+			if len(e.Several) > 0 {
+				c.addresses.PlaceAny(lines[n].Backend, e.Several)
+			} else {
+				c.addresses.Place(lines[n].Backend, e.Address)
+			}
 			listed[lines[n].Backend] = true
 		}
 	}
@@ -258,6 +281,10 @@
 // Follow asks for the list and its changes from now on. A failure is told, and the decisions say when to ask
 // again: many doors that fail together must not ask together.
 func (c *Client) Follow() {
+	if c.other != nil {
+		go c.other() // not within the caller's locks
+		return
+	}
 	c.begin.Do(func() { go c.run() })
 	select {
 	case c.wanted <- struct{}{}:
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"net/netip"
 	"strings"
 	"testing"
 	"time"
@@ -24,8 +25,9 @@
 	known map[policy.BackendID]string
 }
 
-func (e *ear) Place(b policy.BackendID, address string) { e.known[b] = address }
-func (e *ear) Forget(b policy.BackendID)                { delete(e.known, b) }
+func (e *ear) Place(b policy.BackendID, address string)          { e.known[b] = address }
+func (e *ear) PlaceAny(b policy.BackendID, all []netip.AddrPort) { e.known[b] = fmt.Sprint(all) }
+func (e *ear) Forget(b policy.BackendID)                         { delete(e.known, b) }
 func (e *ear) Backends(how policy.Listing, list []policy.Listed) {
 	known := map[policy.BackendID]string{}
 	for b, a := range e.known {
--- a/internal/sock/sock.go
+++ b/internal/sock/sock.go
@@ -10,11 +10,14 @@
 import (
 	"io"
 	"net"
+	"net/netip"
 	"os"
 	"sync/atomic"
 	"syscall"
 	"time"
 	"unsafe"
+
+	"fawnplank/internal/reach"
 )
 
 // Conn is a TCP connection. One goroutine may read while another writes.
@@ -49,6 +52,19 @@
 	return c, nil
 }
 
+// DialAny opens a connection to one of several addresses, tried in their order, and gives the number of that one.
+func DialAny(order []netip.AddrPort, patient time.Duration) (*Conn, int, error) {
+	nc, n, err := reach.Dial(order, patient)
+	if err != nil {
+		return nil, 0, err
+	}
+	c, err := New(nc)
+	if err != nil {
+		nc.Close()
+	}
+	return c, n, err
+}
+
 // Dial opens a connection.
 func Dial(address string, patient time.Duration) (*Conn, error) {
 	nc, err := net.DialTimeout("tcp4", address, patient)
--- a/internal/store/api.go
+++ b/internal/store/api.go
@@ -189,6 +189,46 @@
 	return err
 }
 
+// Edit lands edits, together or not at all, at the leader if that is another. A key that is not as asked for is
+// kv.Conflict; after any other error they may land yet.
+func (s *Store) Edit(edits []kv.Edit) error {
+	if s.raft.State() == raft.Leader {
+		_, err := s.apply(edits)
+		return err
+	}
+	_, leader := s.raft.LeaderWithID()
+	at := s.apiOf(string(leader))
+	if leader == "" || at == "" {
+		return ErrNoLeader
+	}
+	body, err := json.Marshal(edits)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), writeWait+time.Second)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, "POST", "http://"+at+"/v1/edits", bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	request.Header.Set(passedOn, s.o.Me.ID)
+	answer, err := s.client.Do(request)
+	if err != nil {
+		return err
+	}
+	defer answer.Body.Close()
+	text, err := io.ReadAll(io.LimitReader(answer.Body, 64<<10))
+	switch {
+	case err != nil:
+		return err
+	case answer.StatusCode == http.StatusConflict:
+		return kv.Conflict{}
+	case answer.StatusCode != http.StatusOK:
+		return fmt.Errorf("%s: %s", answer.Status, text)
+	}
+	return nil
+}
+
 func (s *Store) led(f raft.IndexFuture) error {
 	if err := f.Error(); errors.Is(err, raft.ErrNotLeader) {
 		return errElsewhere
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -456,6 +456,13 @@
 	return ""
 }
 
+// Entry is a key as this replica has it.
+func (s *Store) Entry(key string) (kv.Entry, bool) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.state.Get(key)
+}
+
 // Rows are the values of the keys with a prefix, by what follows it, as this replica has them.
 func (s *Store) Rows(prefix string) map[string]json.RawMessage {
 	s.mu.RLock()
--- a/internal/zone/zone.go
+++ b/internal/zone/zone.go
@@ -621,3 +621,14 @@
 	}
 	return nil
 }
+
+// Holds says whether anything stands below a name: it exists then, without records of its own.
+func (z *Zone) Holds(name string) bool {
+	found := false
+	z.records.Scan(func(at string, _ dns.RR) bool {
+		owner, _, _ := strings.Cut(at, "\x00")
+		found = dns.IsSubDomain(name, owner)
+		return !found
+	})
+	return found
+}
