Laboratory: backends listed by DNS updates, withdrawals timed against the last shot

New fault backend-withdraw (taken off the list while it runs on, back as a new one), and faults may come again (times, every).

--- a/internal/lab/emu/backend.go
+++ b/internal/lab/emu/backend.go
@@ -30,6 +30,7 @@
 	life                                     int
 	factor                                   float64
 	refuse, hang, reset, garble, fail, drain int
+	away                                     int
 	closed                                   bool
 }
 
@@ -286,6 +287,17 @@
 			b.gate.close()
 			b.rise()
 		}
+	case scenario.BackendWithdraw: // it runs on, and comes back as a new one at the same address
+		first, last := count(&b.away)
+		if !first && !last {
+			return
+		}
+		b.mu.Lock()
+		if b.stage = policy.Gone; last {
+			b.stage, b.started = policy.Ready, b.e.log.Now()
+		}
+		b.mu.Unlock()
+		b.e.discovery.publish(b)
 	case scenario.BackendRestart:
 		if on {
 			b.die()
--- a/internal/lab/emu/discovery.go
+++ b/internal/lab/emu/discovery.go
@@ -27,6 +27,7 @@
 	stale   int
 	held    []func()
 	refused int
+	names   *updater // where changes are told by DNS
 }
 
 // line is a backend as it is told.
@@ -39,6 +40,7 @@
 	Status  string  `json:"status"`
 	Weight  float64 `json:"weight"`
 	SinceMs float64 `json:"since_ms"`
+	n       int
 	since   int64
 	stage   policy.Stage
 	version int64
@@ -53,10 +55,13 @@
 func newDiscovery(e *Emu) (*discovery, error) {
 	d := &discovery{e: e, index: 1, news: make(chan struct{})}
 	for n, b := range e.backends {
-		d.lines = append(d.lines, line{Name: scenario.BackendName(n), Address: b.gate.address, Type: "m1",
+		d.lines = append(d.lines, line{n: n, Name: scenario.BackendName(n), Address: b.gate.address, Type: "m1",
 			Zone: scenario.ZoneName(n % e.s.Backends.Zones), Group: n % e.s.Backends.Groups, Status: "up", Weight: 1,
 			stage: policy.Ready, version: 1})
 	}
+	if e.s.Discovery.Source == "dns" {
+		d.names = newUpdater(e)
+	}
 	for n := range e.s.Doors.Count {
 		l, err := net.Listen("tcp4", "127.0.0.1:0")
 		if err != nil {
@@ -97,6 +102,9 @@
 		}
 		close(d.news)
 		d.news = make(chan struct{})
+		if d.names != nil {
+			d.names.tell(*l)
+		}
 	}
 	d.e.after(time.Duration(d.e.s.Discovery.Delay)+late, func() {
 		d.mu.Lock()
--- a/internal/lab/emu/emu.go
+++ b/internal/lab/emu/emu.go
@@ -123,7 +123,7 @@
 	}
 	switch f.Kind {
 	case scenario.BackendRefuse, scenario.BackendHang, scenario.BackendSlow, scenario.BackendReset, scenario.BackendGarble,
-		scenario.BackendError, scenario.BackendDrain, scenario.BackendVanish, scenario.BackendRestart:
+		scenario.BackendError, scenario.BackendDrain, scenario.BackendVanish, scenario.BackendRestart, scenario.BackendWithdraw:
 		e.backends[n].set(f, on)
 	case scenario.CounterRefuse, scenario.CounterHang, scenario.CounterSlow, scenario.CounterEmpty, scenario.CounterCut:
 		e.counter.set(f, n, on)
--- a/internal/lab/model/model.go
+++ b/internal/lab/model/model.go
@@ -381,6 +381,7 @@
 	line                                     []*shot
 	factor                                   float64
 	refuse, hang, reset, garble, fail, drain int
+	away                                     int // taken off the list
 }
 
 // share is the part of its capacity that the backend has: from the cold share up to all of it.
@@ -647,6 +648,13 @@
 		b.stage = policy.Gone
 		w.news.tell(b)
 		w.at(until, b.rise)
+	case scenario.BackendWithdraw:
+		b.stage = policy.Gone
+		w.news.tell(b)
+		w.during(&b.away, until, func() {
+			b.stage, b.started = policy.Ready, w.now
+			w.news.tell(b)
+		})
 	case scenario.BackendRestart:
 		b.die(false)
 		w.at(until, b.rise)
--- a/internal/lab/plots/plots.go
+++ b/internal/lab/plots/plots.go
@@ -252,6 +252,14 @@
 		return fmt.Sprintf("%.3f", float64(r.Total.Shots)/math.Max(float64(r.Total.Fulfilled), 1))
 	}))
 	row("counter calls, failed", seen(func(r *record.Run) string { return fmt.Sprint(r.Total.Calls, ", ", r.Total.Failed) }))
+	row("withdrawn, with a shot after, p50, p99, most, ms", seen(func(r *record.Run) string {
+		if r.Withdraw == nil {
+			return "none"
+		}
+		w := r.Withdraw
+		return fmt.Sprintf("%d, %d, %.1f, %.1f, %.1f", w.Count, w.WithShot, w.P50, w.P99, w.Most)
+	}))
+	row("dns updates answered", seen(func(r *record.Run) string { return fmt.Sprint(r.Updates) }))
 	row("drift: had more, had less", seen(func(r *record.Run) string {
 		over, under := r.Drift()
 		return fmt.Sprintf("%.1f%%, %.1f%%", 100*over, 100*under)
--- a/internal/lab/record/log.go
+++ b/internal/lab/record/log.go
@@ -85,6 +85,13 @@
 	l.rec.Call(l.Now(), failed)
 }
 
+// Updated counts an update that a front door answered.
+func (l *Log) Updated() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.rec.Updated()
+}
+
 // Open notes how many doors call nothing.
 func (l *Log) Open(doors int) {
 	l.mu.Lock()
--- a/internal/lab/record/record.go
+++ b/internal/lab/record/record.go
@@ -80,10 +80,22 @@
 	Latency  []Point         `json:"latency"`
 	Rules    map[string]int  `json:"rules_broken"`
 	Findings []rules.Finding `json:"findings"`
+	Withdraw *Withdrawals    `json:"withdrawals,omitempty"` // nil: nothing was withdrawn
+	Updates  int             `json:"dns_updates,omitempty"` // answered by front doors
 	Faults   []Mark          `json:"faults"`
 	Rows     []Row           `json:"rows"`
 }
 
+// Withdrawals are how long after a door began to be told that a backend is gone its last new shot came there: 0
+// where none did.
+type Withdrawals struct {
+	Count    int     `json:"count"` // a door each
+	WithShot int     `json:"with_shot"`
+	P50      float64 `json:"p50_ms"`
+	P99      float64 `json:"p99_ms"`
+	Most     float64 `json:"max_ms"`
+}
+
 // Mark is when a fault held, in seconds, for plots.
 type Mark struct {
 	Kind  string  `json:"kind"`
@@ -114,6 +126,17 @@
 	all     *hdrhistogram.Histogram
 	tries   map[rules.TryID]*open
 	stores  map[int]*store
+	gone    map[way]*last // withdrawn backends, as a door knows them
+	lasts   *hdrhistogram.Histogram
+}
+
+// way leads from a door to a backend.
+type way struct{ door, backend int }
+
+// last is when a door was told, and how long after that its last shot came.
+type last struct {
+	told  int64
+	after int64
 }
 
 // New makes a recorder for a scenario. slack is what the ways between the parties may take where only ends are
@@ -127,7 +150,7 @@
 		t.CeilingSlack = append(t.CeilingSlack, p.CeilingSlack)
 	}
 	r := &Recorder{s: s, checker: rules.New(t), tries: map[rules.TryID]*open{}, stores: map[int]*store{},
-		second: histogram(), all: histogram(),
+		second: histogram(), all: histogram(), lasts: histogram(), gone: map[way]*last{},
 		run: &Run{Version: Version, Scenario: s.Name, About: s.About, On: s.On, Seed: s.Seed, Doors: s.Doors.Count,
 			Backends: s.Backends.Count, Rate: s.Load.Rate, Promised: float64(s.Profiles[0].Promised) / 1e6}}
 	for _, f := range s.Faults {
@@ -168,6 +191,13 @@
 	r.checker.See(e)
 	t := r.tries[e.Try]
 	switch e.Kind {
+	case rules.Told:
+		k := way{e.Door, e.Backend}
+		r.settle(k)
+		if e.Stage == policy.Gone {
+			r.gone[k] = &last{told: e.At}
+		}
+		return
 	case rules.Asked:
 		r.tries[e.Try] = &open{Event: e}
 		r.ask(e)
@@ -180,6 +210,9 @@
 		return
 	case rules.Arrived:
 		r.row.Shots++
+		if x := r.gone[way{e.Door, e.Backend}]; x != nil {
+			x.after = max(e.At-x.told, 1e3)
+		}
 	}
 	if t == nil {
 		return
@@ -211,6 +244,26 @@
 	delete(r.tries, e.Try)
 }
 
+// settle notes how a withdrawal ended, once the backend is back or the run over.
+func (r *Recorder) settle(k way) {
+	x := r.gone[k]
+	if x == nil {
+		return
+	}
+	delete(r.gone, k)
+	if r.run.Withdraw == nil {
+		r.run.Withdraw = &Withdrawals{}
+	}
+	r.run.Withdraw.Count++
+	if x.after > 0 {
+		r.run.Withdraw.WithShot++
+	}
+	r.lasts.RecordValue(min(x.after/1e3, 120e6))
+}
+
+// Updated counts an update that a front door answered.
+func (r *Recorder) Updated() { r.run.Updates++ }
+
 // fill reckons the customer's store as one honest counter would keep it: it starts full, and refills at the rate.
 func (r *Recorder) fill(at int64, e rules.Event) *store {
 	plan := r.s.Plans[e.Plan]
@@ -272,6 +325,13 @@
 	run := r.run
 	run.Events = events
 	run.Findings, run.Rules = r.checker.End(at)
+	for k := range r.gone {
+		r.settle(k)
+	}
+	if w := run.Withdraw; w != nil {
+		ms := func(q float64) float64 { return float64(r.lasts.ValueAtQuantile(q)) / 1e3 }
+		w.P50, w.P99, w.Most = ms(50), ms(99), ms(100)
+	}
 	total := &run.Total
 	for _, x := range run.Rows {
 		total.Asked += x.Asked
--- a/internal/lab/rig/rig.go
+++ b/internal/lab/rig/rig.go
@@ -6,6 +6,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/base64"
 	"errors"
 	"fmt"
 	"math/rand/v2"
@@ -17,6 +18,7 @@
 	"syscall"
 	"time"
 
+	"fawnplank/internal/dnsd"
 	"fawnplank/internal/lab/emu"
 	"fawnplank/internal/lab/load"
 	"fawnplank/internal/lab/record"
@@ -73,13 +75,6 @@
 		return nil, err
 	}
 	defer outside.Close()
-	operator := ""
-	if s.Counter.Protocol == "resp" {
-		operator = filepath.Join(folder, "operator.toml")
-		if err := os.WriteFile(operator, []byte("[counter]\nprotocol = \"resp\"\n"), 0o600); err != nil {
-			return nil, err
-		}
-	}
 	var doors []*door
 	defer func() {
 		for _, d := range doors {
@@ -96,6 +91,10 @@
 		if err != nil {
 			return nil, err
 		}
+		operator, err := operate(folder, n, s, outside)
+		if err != nil {
+			return nil, err
+		}
 		d := &door{n: n, address: address, config: filepath.Join(folder, fmt.Sprintf("d%d.json", n)), words: o.Door, env: o.Env,
 			log: filepath.Join(logs, fmt.Sprintf("d%d.log", n)), operator: operator}
 		if err := os.WriteFile(d.config, text, 0o600); err != nil {
@@ -155,6 +154,39 @@
 	return run, ctx.Err()
 }
 
+// operate writes the operator file of front door n, where the scenario asks for what only such a file sets; a door
+// that takes its backends from DNS gets its zone file, and updates from then on.
+func operate(folder string, n int, s *scenario.Scenario, outside *emu.Emu) (string, error) {
+	text := ""
+	if s.Counter.Protocol == "resp" {
+		text += "[counter]\nprotocol = \"resp\"\n"
+	}
+	own := func(name string) string { return filepath.Join(folder, fmt.Sprintf("d%d.%s", n, name)) }
+	if s.Discovery.Source == "dns" {
+		at, err := FreeAddress()
+		if err != nil {
+			return "", err
+		}
+		secret := []byte(fmt.Sprintf("secret of the laboratory, door %4d", n))
+		text += fmt.Sprintf("[dns]\nzone_file = %q\norigin = %q\nservice = %q\njournal = %q\nlisten = %q\n[[dns.key]]\nname = \"lab.\"\nsecret_file = %q\n",
+			own("zone"), emu.Zone.Origin, emu.Zone.Service, own("journal"), at, own("key"))
+		for name, x := range map[string]string{"zone": outside.Names(), "key": base64.StdEncoding.EncodeToString(secret)} {
+			if err := os.WriteFile(own(name), []byte(x), 0o600); err != nil {
+				return "", err
+			}
+		}
+		key, err := dnsd.ReadKey("lab.", "hmac-sha256", own("key"))
+		if err != nil {
+			return "", err
+		}
+		outside.Update(n, at, key)
+	}
+	if text == "" {
+		return "", nil
+	}
+	return own("toml"), os.WriteFile(own("toml"), []byte(text), 0o600)
+}
+
 // FreeAddress finds an address that nobody listens on: on a loopback address of its own, since the ports of 127.0.0.1 are
 // taken by others' connections between the moment it is found and the moment it is used.
 func FreeAddress() (string, error) {
--- a/internal/lab/rig/rig_test.go
+++ b/internal/lab/rig/rig_test.go
@@ -69,9 +69,9 @@
 delay = "20ms"
 `
 
-func play(t *testing.T, add string) *record.Run {
+func play(t *testing.T, add string, over ...string) *record.Run {
 	t.Helper()
-	s, err := scenario.Parse("small", []byte(small+add))
+	s, err := scenario.Parse("small", []byte(small+add), over...)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -164,6 +164,32 @@
 	}
 }
 
+// Backends by dynamic updates: three hundred withdrawals a minute, each told to two doors under load. No new shot
+// comes to a backend a second after a door was told, and the five rules hold; a killed door goes on from its journal.
+func TestDynamicUpdatesUnderLoad(t *testing.T) {
+	for name, add := range map[string]string{
+		"many": "[[fault]]\nkind = \"backend-withdraw\"\nat = \"200ms\"\nfor = \"600ms\"\nwho = [0, 1, 2, 3]\neach = \"200ms\"\ntimes = 3\nevery = \"800ms\"\n",
+		"a door killed meanwhile": "[[fault]]\nkind = \"backend-withdraw\"\nat = \"900ms\"\nfor = \"1500ms\"\nwho = [1]\n" +
+			"[[fault]]\nkind = \"door-restart\"\nat = \"1200ms\"\nfor = \"200ms\"\nwho = [0]\n",
+		"drained": "[[fault]]\nkind = \"backend-drain\"\nat = \"500ms\"\nfor = \"1s\"\nwho = [0]\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			run := play(t, "source = \"dns\"\n"+add, "backends.count=6")
+			least := 0.9
+			if name == "drained" {
+				least = 0.97
+			} else if w := run.Withdraw; w == nil || w.Most > 1000 {
+				t.Errorf("%+v: a shot more than a second after", w)
+			}
+			if r := run.Total; float64(r.Fulfilled) < least*float64(r.Transactions) || run.Updates == 0 {
+				t.Errorf("%+v, %d updates", r, run.Updates)
+			}
+			t.Logf("%d updates, %+v, %d of %d fulfilled", run.Updates, run.Withdraw, run.Total.Fulfilled, run.Total.Transactions)
+		})
+	}
+}
+
 // A door that does not come up, or dies by itself, ends the run with what it said last.
 func TestDoorsThatFail(t *testing.T) {
 	s, err := scenario.Parse("small", []byte(small))
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -56,7 +56,8 @@
 		Timeout  Span    `toml:"timeout"`
 	} `toml:"counter"`
 	Discovery struct {
-		Delay Span `toml:"delay"` // of a change, until it is told
+		Delay  Span   `toml:"delay"`  // of a change, until it is told
+		Source string `toml:"source"` // "http", or "dns": dynamic updates to the doors; sockets only
 	} `toml:"discovery"`
 	Net struct {
 		Delay Span `toml:"delay"` // one way; model only
@@ -133,6 +134,7 @@
 	BackendError    Kind = "backend-error"    // answers are errors
 	BackendDrain    Kind = "backend-drain"    // listed as draining; turns new work away
 	BackendVanish   Kind = "backend-vanish"   // dies, is taken off the list, and comes back cold
+	BackendWithdraw Kind = "backend-withdraw" // taken off the list while it runs on, and back at the same address as a new one
 	BackendRestart  Kind = "backend-restart"  // dies and comes back cold, listed with its new start
 	CounterRefuse   Kind = "counter-refuse"   // refuses connections
 	CounterHang     Kind = "counter-hang"     // takes calls and answers none until the end
@@ -153,7 +155,8 @@
 	BackendRefuse: {"backends", "", true}, BackendHang: {"backends", "", true}, BackendSlow: {"backends", "factor", true},
 	BackendReset: {"backends", "", true}, BackendGarble: {"backends", "", true}, BackendError: {"backends", "", true},
 	BackendDrain: {"backends", "", true}, BackendVanish: {"backends", "", true}, BackendRestart: {"backends", "", true},
-	CounterRefuse: {"", "", true}, CounterHang: {"", "", true}, CounterSlow: {"", "delay", true},
+	BackendWithdraw: {"backends", "", true},
+	CounterRefuse:   {"", "", true}, CounterHang: {"", "", true}, CounterSlow: {"", "delay", true},
 	CounterEmpty: {"", "", false}, CounterCut: {"doors", "", true},
 	DiscoveryStale: {"", "", true}, DiscoveryLate: {"", "delay", true}, DiscoveryRefuse: {"", "", true},
 	DoorRestart: {"doors", "", true},
@@ -168,7 +171,9 @@
 	Share  float64 `toml:"share"` // in place of who: of them all, the first ones
 	Factor float64 `toml:"factor"`
 	Delay  Span    `toml:"delay"`
-	Each   Span    `toml:"each"` // between one of them and the next
+	Each   Span    `toml:"each"`  // between one of them and the next
+	Times  int     `toml:"times"` // that it comes, and Every so long; 0: once
+	Every  Span    `toml:"every"`
 }
 
 // usual is a scenario before its file is read: every default stands here.
@@ -178,7 +183,7 @@
 	s.Backends.Count, s.Backends.Cores, s.Backends.Work, s.Backends.Queue = 4, 2, 20e6, 64
 	s.Backends.Spread, s.Backends.Zones, s.Backends.Groups = 0.5, 1, 1
 	s.Counter.Delay, s.Counter.Timeout, s.Counter.Protocol = 500e3, 50e6, "text"
-	s.Discovery.Delay, s.Net.Delay = 100e6, 200e3
+	s.Discovery.Delay, s.Discovery.Source, s.Net.Delay = 100e6, "http", 200e3
 	s.Load.Rate, s.Load.Arrivals, s.Load.Most, s.Load.Customers = 100, "poisson", 1e7, 20
 	s.Load.Units, s.Load.Connections = 1, 256
 	s.Rules.Grace, s.Rules.Drain, s.Rules.ColdShare = 100e6, 1e9, 0.2
@@ -229,6 +234,15 @@
 	if err := s.check(f); err != nil {
 		return nil, err
 	}
+	var all []Fault
+	for _, x := range s.Faults { // one that comes again is as many
+		for n := range max(x.Times, 1) {
+			y := x
+			y.Times, y.At = 0, x.At+Span(n)*x.Every
+			all = append(all, y)
+		}
+	}
+	s.Faults = all
 	return s, nil
 }
 
@@ -268,6 +282,8 @@
 		must(s.Doors.MemoryMB >= 16, "doors.memory_mb", "is below 16")
 		must(s.Doors.Sockets >= 64, "doors.sockets", "is below 64")
 	}
+	must(s.Discovery.Source == "http" || s.Discovery.Source == "dns", "discovery.source", "is not http or dns")
+	must(s.Discovery.Source != "dns" || s.On == OnSockets, "discovery.source", "is dns, which the model does not have")
 	must(s.Load.Spread <= s.Doors.Count, "load.spread", "is above doors.count")
 	must(s.Backends.Work > 0, "backends.work", "is not above 0")
 	must(s.Backends.Spread >= 0 && s.Backends.Spread <= 3, "backends.spread", "is not from 0 to 3")
@@ -316,6 +332,8 @@
 		must(b.needs != "delay" || x.Delay > 0, at+"delay", "is not above 0")
 		must(x.Share >= 0 && x.Share <= 1, at+"share", "is not from 0 to 1")
 		must(x.Each >= 0, at+"each", "is below 0")
+		must(x.Times >= 0 && x.Times <= 10000, at+"times", "is not from 0 to 10000")
+		must(x.Times <= 1 || x.Every > 0, at+"every", "is not above 0")
 		count := 0
 		switch b.who {
 		case "backends":
