--- a/cmd/fawnplank-lab/main.go
+++ b/cmd/fawnplank-lab/main.go
@@ -13,12 +13,14 @@
 	"syscall"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"github.com/spf13/cobra"
 	"golang.org/x/sync/errgroup"
 
 	"fawnplank/internal/lab/emu"
 	"fawnplank/internal/lab/load"
 	"fawnplank/internal/lab/model"
+	"fawnplank/internal/lab/names"
 	"fawnplank/internal/lab/plots"
 	"fawnplank/internal/lab/record"
 	"fawnplank/internal/lab/rig"
@@ -42,7 +44,7 @@
 simulated time, at sizes that sockets do not reach. The five rules are checked in every run.`,
 		SilenceUsage: true, SilenceErrors: true}
 	c.CompletionOptions.DisableDefaultCmd = true
-	c.AddCommand(runCommand(), checkCommand(), loadCommand(), reportCommand(), sweepCommand(), standInsCommand())
+	c.AddCommand(runCommand(), checkCommand(), loadCommand(), reportCommand(), sweepCommand(), standInsCommand(), zoneCommand())
 	return c
 }
 
@@ -224,6 +226,36 @@
 	return c
 }
 
+func zoneCommand() *cobra.Command {
+	var sizes []int
+	var updates int
+	var span time.Duration
+	var picture string
+	c := &cobra.Command{Use: "zone", Short: "Measure a front door's name server: loading, updates, their number a second", Args: cobra.NoArgs,
+		Example: "  fawnplank lab zone --sizes 100,1000,10000 -o dns-cost.png",
+		RunE: func(c *cobra.Command, _ []string) error {
+			logrus.SetLevel(logrus.ErrorLevel) // an entry an update would be measured too
+			for _, n := range sizes {
+				if n < 1 || n > 50000 {
+					return fmt.Errorf("--sizes: %d is not from 1 to 50000", n)
+				}
+			}
+			all, err := names.Measure(c.Context(), sizes, updates, span)
+			if err != nil {
+				return err
+			}
+			if err := plots.CostTable(c.OutOrStdout(), all); err != nil || picture == "" {
+				return err
+			}
+			return plots.Costs(picture, all)
+		}}
+	c.Flags().IntSliceVar(&sizes, "sizes", []int{100, 1000, 10000, 30000}, "how many backends the zones hold")
+	c.Flags().IntVar(&updates, "updates", 1000, "updates one after the other")
+	c.Flags().DurationVar(&span, "span", 3*time.Second, "time for which eight updaters send at once")
+	c.Flags().StringVarP(&picture, "output", "o", "", "picture to draw, .png or .svg")
+	return c
+}
+
 func sweepCommand() *cobra.Command {
 	var o over
 	var picture string
--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"math/rand"
 	"net"
+	"net/netip"
 	"strconv"
 	"strings"
 	"testing"
@@ -257,3 +258,39 @@
 		t.Error("room is still held")
 	}
 }
+
+// A backend with a hanging address and a good one is one backend: the first connection comes up well within the
+// time, the next ones go to the good address at once, and no connection is left at any other.
+func TestOneBackendWithSeveralAddresses(t *testing.T) {
+	good, conns := listen(t, "")
+	refuses, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	bad := refuses.Addr().String()
+	refuses.Close()
+	p := New(4, 500*time.Millisecond, time.Second, nil)
+	all := []netip.AddrPort{netip.MustParseAddrPort(bad), netip.MustParseAddrPort(good)}
+	p.PlaceAny(1, all)
+	c := warm(t, p, 1)
+	if got := c.nc.RemoteAddr().String(); got != good {
+		t.Fatal(got)
+	}
+	<-conns
+	if first := p.peers[1].several[0]; first != all[1] || len(p.peers[1].several) != 2 {
+		t.Errorf("%v is first next time, in %v", first, p.peers[1].several)
+	}
+	p.PlaceAny(1, all) // told again: its warm connection stays
+	if again, _, err := p.take(1); err != nil || again != c {
+		t.Error("another connection: ", err)
+	}
+	select {
+	case <-conns:
+		t.Error("a second connection to one backend")
+	case <-time.After(50 * time.Millisecond):
+	}
+	p.PlaceAny(1, all[:1]) // elsewhere now
+	if p.conns != 1 || p.peers[1].several[0] != all[0] {
+		t.Error("the old addresses stand")
+	}
+}
--- a/internal/dnsd/server.go
+++ b/internal/dnsd/server.go
@@ -601,7 +601,7 @@
 	if len(step.Come)+len(step.Gone) > 0 {
 		s.o.Tell(step.Come, step.Gone, false)
 	}
-	if len(step.Gone) > 0 && len(s.zone.Backends()) == 0 {
+	if len(step.Gone) > 0 && s.zone.Size() == 0 {
 		logs.For("dns").Error("the last backend is withdrawn: transactions are dismissed until an update or a zone file brings one")
 	}
 	var err error
--- a/internal/zone/zone.go
+++ b/internal/zone/zone.go
@@ -267,6 +267,9 @@
 	return list
 }
 
+// Size is how many backends the list has; Backends takes a time that grows with them.
+func (z *Zone) Size() int { return z.counts[z.first].all }
+
 // serves says whether an entry is in the list. The records of the lowest priority that has one which is not draining
 // are (RFC 2782); those behind them wait until none is left.
 func (z *Zone) serves(b Backend) bool { return b.Priority == z.first }
--- a/internal/zone/zone_test.go
+++ b/internal/zone/zone_test.go
@@ -339,7 +339,7 @@
 			for _, n := range gone {
 				delete(held, n)
 			}
-			if z = s.Zone; len(held) != len(z.Backends()) || slices.ContainsFunc(z.Backends(), func(b Backend) bool { return !held[b.Name].equal(b) }) {
+			if z = s.Zone; len(held) != z.Size() || len(held) != len(z.Backends()) || slices.ContainsFunc(z.Backends(), func(b Backend) bool { return !held[b.Name].equal(b) }) {
 				t.Fatalf("seed %d, step %d: told %v, is %v", seed, step, held, z.Backends())
 			}
 			if s, err = other.Again(s.Change); err != nil {
