--- a/internal/dnsd/answers.go
+++ b/internal/dnsd/answers.go
@@ -1,6 +1,7 @@
 package dnsd
 
 import (
+	"errors"
 	"time"
 
 	"github.com/miekg/dns"
@@ -53,6 +54,8 @@
 	return r
 }
 
+var errTransfer = errors.New("not signed, not of this zone, or not over TCP")
+
 // transfer gives the zone to a secondary that signs: whole (RFC 5936), or the changes since a serial (RFC 1995).
 func (s *Server) transfer(w dns.ResponseWriter, m *dns.Msg, t *dns.TSIG) {
 	s.mu.Lock()
@@ -60,7 +63,7 @@
 	s.mu.Unlock()
 	q := m.Question[0]
 	if t == nil || dns.CanonicalName(q.Name) != z.Origin || w.RemoteAddr().Network() != "tcp" {
-		s.log(w, t).Warn("a transfer that is not signed, not of this zone or not over TCP is refused")
+		s.refuse(w, t, errTransfer, "transfer refused")
 		answer(w, new(dns.Msg).SetRcode(m, dns.RcodeRefused), t)
 		return
 	}
--- a/internal/dnsd/dnsd_test.go
+++ b/internal/dnsd/dnsd_test.go
@@ -450,6 +450,17 @@
 	if most := 5 + int(5*time.Since(began).Seconds()) + 1; done > most || done < 5 || done+refused != 40 {
 		t.Errorf("%d done, %d refused; %d allowed", done, refused, most)
 	}
+	var q quiet
+	lines, skipped := 0, uint64(0)
+	for n := range int64(1000) { // a hundred a second
+		if more, ok := q.line(n / 100); ok {
+			lines++
+			skipped += more
+		}
+	}
+	if lines != 10 || skipped != 9*99 {
+		t.Errorf("%d log lines on a flood, which tell of %d more", lines, skipped)
+	}
 	g := zone.NewGuard(10, 0)
 	now := int64(1e12)
 	for n := range 50000 { // at one a tenth of a second: more than an hour
--- a/internal/dnsd/server.go
+++ b/internal/dnsd/server.go
@@ -69,7 +69,23 @@
 	stop     chan struct{}
 	once     sync.Once
 	figures  figures
-	flooding atomic.Int64 // unix s of the last line on it
+	said     quiet
+}
+
+// quiet keeps a flood of messages from becoming one of log lines: one a second is written on what is refused, and it
+// tells how many went unwritten before it.
+type quiet struct {
+	second  atomic.Int64
+	skipped atomic.Uint64
+}
+
+// line says whether a line is to be written, and how many were not.
+func (q *quiet) line(second int64) (skipped uint64, ok bool) {
+	if q.second.Swap(second) == second {
+		q.skipped.Add(1)
+		return 0, false
+	}
+	return q.skipped.Swap(0), true
 }
 
 type figures struct{ done, refused, unsigned, flooded, failed atomic.Uint64 }
@@ -478,7 +494,7 @@
 	switch {
 	case m.Opcode == dns.OpcodeUpdate && t == nil:
 		s.figures.unsigned.Add(1)
-		s.log(w, t).Warn("an update that is not signed is refused")
+		s.refuse(w, t, dns.ErrNoSig, "an update that is not signed is refused")
 		answer(w, new(dns.Msg).SetRcode(m, dns.RcodeRefused), nil)
 	case m.Opcode == dns.OpcodeUpdate:
 		s.update(w, m, t)
@@ -497,6 +513,17 @@
 	return entry
 }
 
+// refuse logs a refusal, unless another one was in this second.
+func (s *Server) refuse(w dns.ResponseWriter, t *dns.TSIG, err error, what string) {
+	if skipped, ok := s.said.line(time.Now().Unix()); ok {
+		entry := s.log(w, t).WithError(err)
+		if skipped > 0 {
+			entry = entry.WithField("skipped", skipped)
+		}
+		entry.Warn(what)
+	}
+}
+
 // answer sends an answer, signed where the question was.
 func answer(w dns.ResponseWriter, r *dns.Msg, t *dns.TSIG) {
 	if t != nil {
@@ -513,7 +540,7 @@
 // unsigned answers what is not signed as it should be (RFC 8945, 5.2): NOTAUTH with the error's own number.
 func (s *Server) unsigned(w dns.ResponseWriter, m *dns.Msg, t *dns.TSIG, err error) {
 	s.figures.unsigned.Add(1)
-	s.log(w, t).WithError(err).Warn("a message that is not signed as it should be is refused")
+	s.refuse(w, t, err, "a message that is not signed as it should be is refused")
 	r := new(dns.Msg).SetRcode(m, dns.RcodeNotAuth)
 	r.SetTsig(t.Hdr.Name, t.Algorithm, Fudge, int64(t.TimeSigned))
 	x := r.IsTsig()
@@ -544,9 +571,7 @@
 		return
 	case zone.Flood:
 		s.figures.flooded.Add(1)
-		if last := s.flooding.Swap(now / 1e9); last != now/1e9 {
-			s.log(w, t).WithField("a_second", s.o.Rate).Warn("more updates than are allowed: refused")
-		}
+		s.refuse(w, t, fmt.Errorf("more than %g updates a second", s.o.Rate), "updates are refused for their number")
 		answer(w, new(dns.Msg).SetRcode(m, dns.RcodeRefused), t)
 		return
 	case zone.Go:
@@ -577,7 +602,7 @@
 	var refusal *zone.Refusal
 	if errors.As(err, &refusal) {
 		s.figures.refused.Add(1)
-		s.log(w, t).WithError(err).Warn("update refused")
+		s.refuse(w, t, err, "update refused")
 		return refusal.Rcode
 	}
 	if err != nil { // with the store it may land yet, at all replicas
