--- a/internal/dnsd/server.go
+++ b/internal/dnsd/server.go
@@ -61,15 +61,15 @@
 	guard   *zone.Guard
 	news    []chan struct{} // for each secondary: the serial has changed
 
-	asked    atomic.Pointer[zone.Zone] // the zone in force, for queries: they do not wait for what an update waits for
-	servers  []*dns.Server
-	at       string
-	busy     chan struct{}
-	allowed  *allowance
-	stop     chan struct{}
-	once     sync.Once
-	figures  figures
-	said     quiet
+	asked   atomic.Pointer[zone.Zone] // the zone in force, for queries: they do not wait for what an update waits for
+	servers []*dns.Server
+	at      string
+	busy    chan struct{}
+	allowed *allowance
+	stop    chan struct{}
+	once    sync.Once
+	figures figures
+	said    quiet
 }
 
 // quiet keeps a flood of messages from becoming one of log lines: one a second is written on what is refused, and it
