--- /dev/null
+++ b/internal/billd/billd.go
@@ -0,0 +1,536 @@
+// Package billd keeps gestorías' accounts in the replicated store: plan changes, reservations, use that front doors
+// report, and its export, once. It owns the keys, the loops and the receivers; what a step does to an account is
+// package billing's to say. Each step is written with the account as it was read, so that of two at once one follows the
+// other, at whatever door they are asked.
+package billd
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"fawnplank/internal/billing"
+	"fawnplank/internal/logs"
+	"fawnplank/internal/store/kv"
+)
+
+// Replica is the part of a replica of the store that accounts are kept by.
+type Replica interface {
+	Entry(key string) (kv.Entry, bool)             // as this replica has it
+	Fresh(key string) (kv.Entry, bool, error)      // as the leader has it, with all that landed
+	Rows(prefix string) map[string]json.RawMessage // as this replica has them, by what follows the prefix
+	Edit(edits []kv.Edit) error                    // together or not at all; kv.Conflict where a key is not as asked
+	Leads() bool
+}
+
+// Keys of the store.
+const (
+	Keys       = "billing/"
+	accountKey = Keys + "account/"
+	useKey     = Keys + "use/"
+	recordKey  = Keys + "record/"
+	exportKey  = Keys + "export"
+)
+
+// Options are what the accounts are kept with.
+type Options struct {
+	Replica Replica
+	Door    string               // this door's name, one of its own in the installation
+	Terms   func() billing.Terms // as the settings have them now
+	Every   time.Duration        // between two reports of this door's use
+	Sink    Sink                 // nil: this door exports nothing
+	Now     func() time.Time     // nil: the clock
+}
+
+// Desk keeps the accounts at one door.
+type Desk struct {
+	o      Options
+	life   int64 // this process among the door's, unix ns
+	mu     sync.Mutex
+	used   map[use]billing.Units // not reported yet
+	number uint64                // of the next report
+	plans  atomic.Pointer[map[string]billing.Account]
+	stop   chan struct{}
+	done   sync.WaitGroup
+	once   sync.Once
+	counts Counts
+	halted atomic.Pointer[string] // why nothing is exported
+}
+
+// Counts are figures.
+type Counts struct{ Steps, Refused, Reports, Exported, Failures atomic.Uint64 }
+
+// use is what reports are summed by.
+type use struct {
+	gestoria, plan string
+	window         int64
+}
+
+// item is a line of a report.
+type item struct {
+	Gestoria string        `json:"g"`
+	Plan     string        `json:"p"`
+	Window   int64         `json:"w"`
+	Units    billing.Units `json:"u"`
+}
+
+const (
+	// within bounds a step: an election takes a second or so.
+	within = 5 * time.Second
+	// mostItems bounds a report, whose accounts are written at once: a command of the store takes a thousand edits.
+	mostItems = 400
+	// mostBatch bounds what is sent at once.
+	mostBatch = 200
+	// sweep is how often leases and windows that are over are looked for.
+	sweep = time.Second
+	// clerk is how often reports are folded into accounts.
+	clerk  = 250 * time.Millisecond
+	again  = time.Second // after an export that failed; doubled up to
+	latest = 30 * time.Second
+)
+
+// Start starts a desk.
+func Start(o Options) *Desk {
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+	d := &Desk{o: o, life: o.Now().UnixNano(), used: map[use]billing.Units{}, stop: make(chan struct{})}
+	d.Changed()
+	d.loop(o.Every, d.report)
+	d.loop(clerk, d.fold)
+	d.loop(sweep, d.sweep)
+	if o.Sink != nil {
+		d.done.Add(1)
+		go d.export()
+	}
+	return d
+}
+
+func (d *Desk) loop(every time.Duration, do func() error) {
+	d.done.Add(1)
+	go func() {
+		defer d.done.Done()
+		failing := false
+		for {
+			select {
+			case <-d.stop:
+				return
+			case <-time.After(every):
+			}
+			err := do()
+			if (err != nil) != failing { // once an outage
+				if failing = err != nil; failing {
+					logs.For("billing").WithError(err).Warn("the store takes nothing; tried again")
+				} else {
+					logs.For("billing").Info("the store takes again")
+				}
+			}
+			if err != nil {
+				d.counts.Failures.Add(1)
+			}
+		}
+	}()
+}
+
+// Close reports what was used, and ends the loops.
+func (d *Desk) Close() {
+	if d == nil {
+		return
+	}
+	d.once.Do(func() {
+		close(d.stop)
+		d.done.Wait()
+		for end := time.Now().Add(within); ; time.Sleep(100 * time.Millisecond) {
+			err := d.report()
+			if err == nil {
+				return
+			}
+			if time.Now().After(end) {
+				logs.For("billing").WithError(err).Error("use of this door is lost")
+				return
+			}
+		}
+	})
+}
+
+// Figures are the counts; waiting is how many records are not exported yet.
+func (d *Desk) Figures() (c *Counts, waiting int) {
+	return &d.counts, len(d.o.Replica.Rows(recordKey))
+}
+
+// Halted is why nothing is exported; empty: nothing is wrong.
+func (d *Desk) Halted() string {
+	if x := d.halted.Load(); x != nil {
+		return *x
+	}
+	return ""
+}
+
+// Plan is the plan that a gestoría's transactions are taken under now, where a change has set one. It is asked for each
+// transaction: a look into a map.
+func (d *Desk) Plan(gestoria string) (string, bool) {
+	a, ok := (*d.plans.Load())[gestoria]
+	if !ok {
+		return "", false
+	}
+	plan := a.Plan(d.o.Now().UnixNano())
+	return plan, plan != ""
+}
+
+// Used notes units of a transaction that was taken at a moment under a plan, and has been fulfilled.
+func (d *Desk) Used(gestoria, plan string, taken time.Time, units float64) {
+	n, err := billing.Of(units)
+	if err != nil {
+		return
+	}
+	w := d.o.Terms().Window
+	at := taken.UnixNano()
+	k := use{gestoria, plan, at - at%w}
+	d.mu.Lock()
+	d.used[k] += n
+	d.mu.Unlock()
+}
+
+// Changed is to be called when accounts have changed in the store: changes of plans are taken over.
+func (d *Desk) Changed() {
+	plans := map[string]billing.Account{}
+	for g, text := range d.o.Replica.Rows(accountKey) {
+		var a billing.Account
+		if json.Unmarshal(text, &a) == nil && len(a.Changes) > 0 {
+			plans[g] = billing.Account{Changes: a.Changes}
+		}
+	}
+	d.plans.Store(&plans)
+}
+
+// report writes what was used since the last report under a key of its own: written twice it stands once.
+func (d *Desk) report() error {
+	for {
+		d.mu.Lock()
+		var items []item
+		for k, u := range d.used {
+			if items = append(items, item{k.gestoria, k.plan, k.window, u}); len(items) == mostItems {
+				break
+			}
+		}
+		number := d.number
+		d.mu.Unlock()
+		if len(items) == 0 {
+			return nil
+		}
+		slices.SortFunc(items, func(a, b item) int { return strings.Compare(a.Gestoria, b.Gestoria) })
+		text, err := json.Marshal(items)
+		if err != nil {
+			return err
+		}
+		key := fmt.Sprintf("%s%s-%016x-%08x", useKey, d.o.Door, d.life, number)
+		if err := d.land(key, text); err != nil {
+			return err
+		}
+		d.mu.Lock()
+		d.number++
+		for _, x := range items {
+			k := use{x.Gestoria, x.Plan, x.Window}
+			if d.used[k] -= x.Units; d.used[k] == 0 {
+				delete(d.used, k)
+			}
+		}
+		d.mu.Unlock()
+		d.counts.Reports.Add(1)
+	}
+}
+
+// land writes a report until it is known to have landed. It may have landed though its writing gave an error, and
+// may have been folded into accounts since: so what was written is tried again as it is, and a mark in the door's own
+// key tells.
+func (d *Desk) land(key string, text []byte) error {
+	mark := Keys + "door/" + d.o.Door
+	number, err := json.Marshal(key)
+	if err != nil {
+		return err
+	}
+	for end := time.Now().Add(within); ; {
+		old, ok, err := d.o.Replica.Fresh(mark)
+		if err == nil && ok && string(old.Value) == string(number) {
+			return nil // it has landed
+		}
+		if err == nil {
+			err = d.o.Replica.Edit([]kv.Edit{{Key: key, Value: text}, {Key: mark, Value: number, Check: true, If: old.Index}})
+		}
+		if err == nil {
+			return nil
+		}
+		if time.Now().After(end) {
+			return err
+		}
+		select {
+		case <-d.stop:
+			return err
+		case <-time.After(50 * time.Millisecond):
+		}
+	}
+}
+
+// account reads an account as the leader has it.
+func (d *Desk) account(gestoria string) (a billing.Account, index kv.Index, err error) {
+	e, ok, err := d.o.Replica.Fresh(accountKey + gestoria)
+	if err != nil {
+		return a, 0, err
+	}
+	if !ok {
+		return billing.Account{Gestoria: gestoria}, 0, nil
+	}
+	if err := json.Unmarshal(e.Value, &a); err != nil {
+		return a, 0, fmt.Errorf("account of %s: %w", gestoria, err)
+	}
+	return a, e.Index, nil
+}
+
+// ErrStore says that a step is not known to have landed. It may land yet; asked again with the same id or epoch it is
+// done once.
+var ErrStore = errors.New("the store gives no answer; ask again with the same words")
+
+// step does one step of an account. do may be called more than once.
+func (d *Desk) step(gestoria string, do func(t billing.Terms, now int64, a billing.Account) (billing.Account, error)) error {
+	for end := time.Now().Add(within); ; {
+		a, index, err := d.account(gestoria)
+		if err == nil {
+			b, refused := do(d.o.Terms(), d.o.Now().UnixNano(), a)
+			if refused != nil {
+				d.counts.Refused.Add(1)
+				return refused
+			}
+			var e kv.Edit
+			if e, err = edit(b, index); err == nil {
+				err = d.o.Replica.Edit([]kv.Edit{e})
+			}
+			if err == nil {
+				d.counts.Steps.Add(1)
+				return nil
+			}
+		}
+		var conflict kv.Conflict
+		if !errors.As(err, &conflict) {
+			return fmt.Errorf("%w (%v)", ErrStore, err)
+		}
+		if time.Now().After(end) {
+			return ErrStore
+		}
+		time.Sleep(2 * time.Millisecond) // another step was quicker
+	}
+}
+
+// edit writes an account, or deletes one with nothing in it.
+func edit(a billing.Account, index kv.Index) (kv.Edit, error) {
+	e := kv.Edit{Key: accountKey + a.Gestoria, Check: true, If: index}
+	if a.Empty() {
+		return e, nil
+	}
+	text, err := json.Marshal(a)
+	e.Value = text
+	return e, err
+}
+
+// Change sets a gestoría's plan from a moment on.
+func (d *Desk) Change(gestoria string, c billing.Change) error {
+	return d.step(gestoria, func(t billing.Terms, now int64, a billing.Account) (billing.Account, error) {
+		return a.Change(t, now, c)
+	})
+}
+
+// TakeBack takes a change back.
+func (d *Desk) TakeBack(gestoria, id string) error {
+	return d.step(gestoria, func(t billing.Terms, now int64, a billing.Account) (billing.Account, error) {
+		return a.TakeBack(t, now, id)
+	})
+}
+
+// Reserve holds units.
+func (d *Desk) Reserve(gestoria, id, holder, plan string, units billing.Units, lease time.Duration) (h billing.Hold, err error) {
+	err = d.step(gestoria, func(t billing.Terms, now int64, a billing.Account) (_ billing.Account, err error) {
+		a, h, err = a.Reserve(t, now, id, holder, plan, units, int64(lease))
+		return a, err
+	})
+	return h, err
+}
+
+// Commit turns reserved units into use.
+func (d *Desk) Commit(gestoria, id string, epoch uint64, units billing.Units) (h billing.Hold, err error) {
+	err = d.step(gestoria, func(t billing.Terms, now int64, a billing.Account) (_ billing.Account, err error) {
+		a, h, err = a.Commit(t, now, id, epoch, units)
+		return a, err
+	})
+	return h, err
+}
+
+// Renew holds a reservation for longer.
+func (d *Desk) Renew(gestoria, id string, epoch uint64, lease time.Duration) (h billing.Hold, err error) {
+	err = d.step(gestoria, func(t billing.Terms, now int64, a billing.Account) (_ billing.Account, err error) {
+		a, h, err = a.Renew(t, now, id, epoch, int64(lease))
+		return a, err
+	})
+	return h, err
+}
+
+// Take makes a reservation another holder's.
+func (d *Desk) Take(gestoria, id, holder string, lease time.Duration) (h billing.Hold, err error) {
+	err = d.step(gestoria, func(t billing.Terms, now int64, a billing.Account) (_ billing.Account, err error) {
+		a, h, err = a.Take(t, now, id, holder, int64(lease))
+		return a, err
+	})
+	return h, err
+}
+
+// Release gives what is left of a reservation back.
+func (d *Desk) Release(gestoria, id string, epoch uint64) error {
+	return d.step(gestoria, func(t billing.Terms, now int64, a billing.Account) (billing.Account, error) {
+		return a.Release(t, now, id, epoch)
+	})
+}
+
+// Show is an account as the leader has it, and its room in the window that is open.
+func (d *Desk) Show(gestoria, plan string) (a billing.Account, room billing.Units, err error) {
+	if a, _, err = d.account(gestoria); err != nil {
+		return a, 0, fmt.Errorf("%w (%v)", ErrStore, err)
+	}
+	t, now := d.o.Terms(), d.o.Now().UnixNano()
+	return a, a.Room(t, now-now%t.Window, now, plan), nil
+}
+
+// fold adds reported use to accounts, at the leader: a report goes and its units come in one write.
+func (d *Desk) fold() error {
+	if !d.o.Replica.Leads() {
+		return nil
+	}
+	reports := d.o.Replica.Rows(useKey)
+	for _, name := range slices.Sorted(maps.Keys(reports)) {
+		e, ok, err := d.o.Replica.Fresh(useKey + name)
+		if err != nil || !ok {
+			return err
+		}
+		var items []item
+		if err := json.Unmarshal(e.Value, &items); err != nil {
+			return fmt.Errorf("report %s: %w", name, err)
+		}
+		accounts, indices := map[string]billing.Account{}, map[string]kv.Index{}
+		for _, x := range items {
+			a, ok := accounts[x.Gestoria]
+			if !ok {
+				if a, indices[x.Gestoria], err = d.account(x.Gestoria); err != nil {
+					return err
+				}
+			}
+			if accounts[x.Gestoria], err = a.Use(d.o.Terms(), x.Window, x.Plan, x.Units); err != nil {
+				// It stays, and stands in the way, until somebody looks: use is not dropped in silence.
+				return fmt.Errorf("report %s: %w", name, err)
+			}
+		}
+		edits := []kv.Edit{{Key: useKey + name, Check: true, If: e.Index}}
+		for _, g := range slices.Sorted(maps.Keys(accounts)) {
+			x, err := edit(accounts[g], indices[g])
+			if err != nil {
+				return err
+			}
+			edits = append(edits, x)
+		}
+		if err := d.o.Replica.Edit(edits); err != nil {
+			var conflict kv.Conflict
+			if errors.As(err, &conflict) {
+				return nil // an account was changed meanwhile: in the next round
+			}
+			return err
+		}
+	}
+	return nil
+}
+
+// state is how far the export is.
+type state struct {
+	Next  uint64 `json:"next"`            // sequence of the next record
+	Acked uint64 `json:"acked"`           // the last one that the receiver has
+	First uint64 `json:"first,omitempty"` // of the batch that is being sent: one is sent until it is taken, as it is
+	Last  uint64 `json:"last,omitempty"`
+}
+
+func (d *Desk) state() (s state, index kv.Index, err error) {
+	e, ok, err := d.o.Replica.Fresh(exportKey)
+	if err != nil || !ok {
+		return state{Next: 1}, 0, err
+	}
+	return s, e.Index, json.Unmarshal(e.Value, &s)
+}
+
+func recordAt(n uint64) string { return fmt.Sprintf("%s%016x", recordKey, n) }
+
+// sweep returns reservations whose leases are over, and makes records of windows that are.
+func (d *Desk) sweep() error {
+	if !d.o.Replica.Leads() {
+		return nil
+	}
+	t := d.o.Terms()
+	for _, g := range slices.Sorted(maps.Keys(d.o.Replica.Rows(accountKey))) {
+		now := d.o.Now().UnixNano()
+		local, ok := d.o.Replica.Entry(accountKey + g)
+		var a billing.Account
+		if !ok || json.Unmarshal(local.Value, &a) != nil {
+			continue
+		}
+		b := a.Lapse(t, now)
+		b, records := b.Close(t, now, 1)
+		was, _ := json.Marshal(a)
+		is, _ := json.Marshal(b)
+		if string(was) == string(is) && len(records) == 0 {
+			continue
+		}
+		if err := d.settle(g); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// settle writes one account's lapsed leases and closed windows, with their records, in one write.
+func (d *Desk) settle(g string) error {
+	a, index, err := d.account(g)
+	if err != nil {
+		return err
+	}
+	s, at, err := d.state()
+	if err != nil {
+		return err
+	}
+	t, now := d.o.Terms(), d.o.Now().UnixNano()
+	b, records := a.Lapse(t, now).Close(t, now, s.Next)
+	e, err := edit(b, index)
+	if err != nil {
+		return err
+	}
+	edits := []kv.Edit{e}
+	for _, r := range records {
+		text, err := json.Marshal(r)
+		if err != nil {
+			return err
+		}
+		edits = append(edits, kv.Edit{Key: recordAt(r.Sequence), Value: text, Check: true})
+	}
+	if len(records) > 0 {
+		s.Next += uint64(len(records))
+		text, err := json.Marshal(s)
+		if err != nil {
+			return err
+		}
+		edits = append(edits, kv.Edit{Key: exportKey, Value: text, Check: true, If: at})
+	}
+	err = d.o.Replica.Edit(edits)
+	var conflict kv.Conflict
+	if errors.As(err, &conflict) {
+		return nil // in the next round
+	}
+	return err
+}
--- /dev/null
+++ b/internal/billing/account.go
@@ -0,0 +1,451 @@
+// Package billing is what plan changes, reservations and exported use come to, as a pure module: an account and a
+// moment go in, a new account or an error come out. It reads no clock and does no I/O. Whoever calls it keeps accounts
+// so that each step follows from the last (package billd does, in the replicated store). docs/billing.md is the
+// operators' page.
+package billing
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"maps"
+	"math"
+	"slices"
+)
+
+// Units are millionths of a unit: whole numbers, so that sums come out the same in any order.
+type Units int64
+
+// Of gives units of a number as heads and commands have it.
+func Of(x float64) (Units, error) {
+	if !(x > 0 && x <= mostUnits) {
+		return 0, fmt.Errorf("units %g are not above 0 and at most %g", x, float64(mostUnits))
+	}
+	return Units(math.Round(x * 1e6)), nil
+}
+
+// mostUnits is the largest number of units at once: sums of a million of them fit.
+const mostUnits = 1e6
+
+// Float is the number.
+func (u Units) Float() float64 { return float64(u) / 1e6 }
+
+// Quota is what a plan allows: units a second, and how many at once.
+type Quota struct{ Rate, Peak float64 }
+
+// Terms are the same at all doors.
+type Terms struct {
+	Window int64            // ns: use is billed by windows of this length, since 1970
+	Lead   int64            // ns that a plan change is made known ahead: all doors have heard by its moment
+	Skew   int64            // ns that two doors' clocks may differ
+	Lease  int64            // ns that a reservation may hold at most without being renewed
+	Late   int64            // ns after a window's end until its use is exported; what comes later makes a further record
+	Plans  map[string]Quota // by name
+}
+
+// Account is a gestoría's. It is not changed: each step gives a new one.
+type Account struct {
+	Gestoria string           `json:"gestoria"`
+	Changes  []Change         `json:"changes,omitempty"` // in order of their moments
+	Windows  []Window         `json:"windows,omitempty"` // not exported yet, or open, in order
+	Holds    map[string]Hold  `json:"holds,omitempty"`   // reservations, by id
+	Ended    map[string]int64 `json:"ended,omitempty"`   // ids of reservations that ended, until when they are remembered, unix ns
+	Epoch    uint64           `json:"epoch,omitempty"`   // of the last hold: no two have one in common
+}
+
+// Change is a plan from a moment on.
+type Change struct {
+	ID   string `json:"id"`
+	At   int64  `json:"at"` // unix ns
+	Plan string `json:"plan"`
+}
+
+// Window is the use of one window.
+type Window struct {
+	Start int64            `json:"start"` // unix ns
+	Used  map[string]Units `json:"used"`  // by plan, not exported yet
+	Sent  Units            `json:"sent"`  // of all plans, exported
+}
+
+// Hold is a reservation.
+type Hold struct {
+	ID     string `json:"id"`
+	Plan   string `json:"plan"`
+	Window int64  `json:"window"` // whose allowance it takes, unix ns
+	Left   Units  `json:"left"`
+	Until  int64  `json:"until"` // unix ns
+	Epoch  uint64 `json:"epoch"`
+	Holder string `json:"holder"`
+}
+
+// Record is use to be billed. Records of one gestoría, plan and window add up.
+type Record struct {
+	Sequence uint64 `json:"sequence"`
+	Gestoria string `json:"gestoria"`
+	Plan     string `json:"plan"`
+	Window   int64  `json:"window_unix_s"`
+	Micro    Units  `json:"micro_units"`
+}
+
+// Errors of what is asked; each is told with the name that was wrong.
+var (
+	ErrUnknown = errors.New("is not known")
+	ErrTaken   = errors.New("is taken")
+	ErrTooSoon = errors.New("is too soon")
+	ErrOver    = errors.New("is over")
+	ErrEpoch   = errors.New("is gone by")
+	ErrNoRoom  = errors.New("has no room")
+	ErrRange   = errors.New("is out of range")
+)
+
+func fault(err error, form string, args ...any) error {
+	return fmt.Errorf("%s %w", fmt.Sprintf(form, args...), err)
+}
+
+// mostHolds and mostChanges bound an account: it is one value of the store.
+const (
+	mostHolds   = 200
+	mostChanges = 100
+	mostID      = 64
+)
+
+func (a Account) clone() Account {
+	a.Changes, a.Windows = slices.Clone(a.Changes), slices.Clone(a.Windows)
+	for n := range a.Windows {
+		a.Windows[n].Used = maps.Clone(a.Windows[n].Used)
+	}
+	a.Holds, a.Ended = maps.Clone(a.Holds), maps.Clone(a.Ended)
+	if a.Holds == nil {
+		a.Holds = map[string]Hold{}
+	}
+	if a.Ended == nil {
+		a.Ended = map[string]int64{}
+	}
+	return a
+}
+
+// Plan is the plan in force at a moment; empty where no change has set one: the one that is asked for holds.
+func (a Account) Plan(at int64) string {
+	plan := ""
+	for _, c := range a.Changes {
+		if c.At <= at {
+			plan = c.Plan
+		}
+	}
+	return plan
+}
+
+func checkID(id string) error {
+	if id == "" || len(id) > mostID {
+		return fault(ErrRange, "id %.80q, of 1 to %d bytes,", id, mostID)
+	}
+	return nil
+}
+
+// Change sets the gestoría's plan from a moment on. The same change again is no error: it was made.
+func (a Account) Change(t Terms, now int64, c Change) (Account, error) {
+	if err := checkID(c.ID); err != nil {
+		return a, err
+	}
+	if _, ok := t.Plans[c.Plan]; !ok {
+		return a, fault(ErrUnknown, "plan %.80q", c.Plan)
+	}
+	for _, old := range a.Changes {
+		switch {
+		case old == c:
+			return a, nil
+		case old.ID == c.ID:
+			return a, fault(ErrTaken, "id %q", c.ID)
+		case old.At == c.At:
+			return a, fault(ErrTaken, "the moment, by change %q to %s,", old.ID, old.Plan)
+		}
+	}
+	if c.At < now+t.Lead {
+		return a, fault(ErrTooSoon, "the moment, %d ms from now where %d are needed,", (c.At-now)/1e6, t.Lead/1e6)
+	}
+	if c.At > now+366*24*3600e9 {
+		return a, fault(ErrRange, "the moment, more than a year ahead,")
+	}
+	if len(a.Changes) >= mostChanges {
+		return a, fault(ErrNoRoom, "the list of changes, of %d,", mostChanges)
+	}
+	a = a.clone()
+	a.Changes = append(a.Changes, c)
+	slices.SortFunc(a.Changes, func(x, y Change) int { return cmp.Compare(x.At, y.At) })
+	return a, nil
+}
+
+// TakeBack takes a change back that no door goes by yet.
+func (a Account) TakeBack(t Terms, now int64, id string) (Account, error) {
+	for n, c := range a.Changes {
+		if c.ID != id {
+			continue
+		}
+		if c.At < now+t.Lead {
+			return a, fault(ErrOver, "the time to take change %q back", id)
+		}
+		a = a.clone()
+		a.Changes = slices.Delete(a.Changes, n, n+1)
+		return a, nil
+	}
+	return a, fault(ErrUnknown, "change %.80q", id)
+}
+
+// start is that of the window of a moment.
+func (t Terms) start(at int64) int64 { return at - ((at%t.Window)+t.Window)%t.Window }
+
+func (a *Account) window(start int64) *Window {
+	n, ok := slices.BinarySearchFunc(a.Windows, start, func(w Window, s int64) int { return cmp.Compare(w.Start, s) })
+	if !ok {
+		a.Windows = slices.Insert(a.Windows, n, Window{Start: start, Used: map[string]Units{}})
+	}
+	return &a.Windows[n]
+}
+
+// Use adds units that were used under a plan, the one their transactions were taken under.
+func (a Account) Use(t Terms, start int64, plan string, units Units) (Account, error) {
+	if units <= 0 || units > mostUnits*1e6*1000 {
+		return a, fault(ErrRange, "use of %d", units)
+	}
+	if start != t.start(start) {
+		return a, fault(ErrRange, "window %d", start)
+	}
+	a = a.clone()
+	a.window(start).Used[plan] += units
+	return a, nil
+}
+
+// Allowance is what a window allows: each plan's rate for the time it holds in it, and what the plan now in force
+// allows at once.
+func (a Account) Allowance(t Terms, start, now int64, asked string) Units {
+	sum, from, plan := 0.0, start, a.Plan(start)
+	end := start + t.Window
+	for _, c := range a.Changes {
+		if c.At > start && c.At < end {
+			sum += t.Plans[cmp.Or(plan, asked)].Rate * float64(c.At-from) / 1e9
+			from, plan = c.At, c.Plan
+		}
+	}
+	sum += t.Plans[cmp.Or(plan, asked)].Rate * float64(end-from) / 1e9
+	sum += t.Plans[cmp.Or(a.Plan(now), asked)].Peak
+	return Units(math.Round(sum * 1e6))
+}
+
+// Room is what may still be reserved of a window: below 0 where a change left less than is used or held already.
+func (a Account) Room(t Terms, start, now int64, asked string) Units {
+	room := a.Allowance(t, start, now, asked)
+	for _, w := range a.Windows {
+		if w.Start == start {
+			room -= w.Sent
+			for _, u := range w.Used {
+				room -= u
+			}
+		}
+	}
+	for _, h := range a.Holds {
+		if h.Window == start {
+			room -= h.Left
+		}
+	}
+	return room
+}
+
+func (t Terms) lease(now, lease int64) (int64, error) {
+	if lease <= 0 || lease > t.Lease {
+		return 0, fault(ErrRange, "lease of %d ms, of 1 to %d,", lease/1e6, t.Lease/1e6)
+	}
+	return now + lease, nil
+}
+
+// Reserve holds units of the window that now lies in. The same id again is no error while it is held by the same
+// holder: it was made, and what is told is what it holds.
+func (a Account) Reserve(t Terms, now int64, id, holder, plan string, units Units, lease int64) (Account, Hold, error) {
+	plan = cmp.Or(a.Plan(now), plan)
+	if err := checkID(id); err != nil {
+		return a, Hold{}, err
+	}
+	if _, ok := t.Plans[plan]; !ok {
+		return a, Hold{}, fault(ErrUnknown, "plan %.80q", plan)
+	}
+	until, err := t.lease(now, lease)
+	if err != nil {
+		return a, Hold{}, err
+	}
+	if units <= 0 || units > mostUnits*1e6 {
+		return a, Hold{}, fault(ErrRange, "a reservation of %g units", units.Float())
+	}
+	a = a.Lapse(t, now)
+	if h, ok := a.Holds[id]; ok {
+		if h.Holder == holder {
+			return a, h, nil
+		}
+		return a, Hold{}, fault(ErrTaken, "reservation %q", id)
+	}
+	if _, ok := a.Ended[id]; ok {
+		return a, Hold{}, fault(ErrOver, "reservation %q", id)
+	}
+	start := t.start(now)
+	if room := a.Room(t, start, now, plan); units > room {
+		return a, Hold{}, fault(ErrNoRoom, "the window, for %g units of %g,", units.Float(), max(room, 0).Float())
+	}
+	if len(a.Holds) >= mostHolds {
+		return a, Hold{}, fault(ErrNoRoom, "the list of reservations, of %d,", mostHolds)
+	}
+	a = a.clone()
+	a.Epoch++
+	h := Hold{ID: id, Plan: plan, Window: start, Left: units, Until: until, Epoch: a.Epoch, Holder: holder}
+	a.Holds[id] = h
+	return a, h, nil
+}
+
+// held gives a reservation that its holder may still use.
+func (a Account) held(now int64, id string, epoch uint64) (Hold, error) {
+	h, ok := a.Holds[id]
+	switch {
+	case !ok && a.Ended[id] != 0:
+		return h, fault(ErrOver, "reservation %q", id)
+	case !ok:
+		return h, fault(ErrUnknown, "reservation %.80q", id)
+	case h.Epoch != epoch:
+		return h, fault(ErrEpoch, "epoch %d of reservation %q, which is at %d,", epoch, id, h.Epoch)
+	case now >= h.Until:
+		return h, fault(ErrOver, "the lease of reservation %q", id)
+	}
+	return h, nil
+}
+
+// Commit turns reserved units into use. Each raises the epoch, which the answer tells and the next one must name: one
+// that is sent twice is done once, and the second is told that its epoch is gone by.
+func (a Account) Commit(t Terms, now int64, id string, epoch uint64, units Units) (Account, Hold, error) {
+	h, err := a.held(now, id, epoch)
+	if err != nil {
+		return a, h, err
+	}
+	if units <= 0 || units > h.Left {
+		return a, h, fault(ErrRange, "a commit of %g units of the %g that reservation %q holds", units.Float(), h.Left.Float(), id)
+	}
+	a = a.clone()
+	a.window(h.Window).Used[h.Plan] += units
+	a.Epoch++
+	h.Left, h.Epoch = h.Left-units, a.Epoch
+	if a.Holds[id] = h; h.Left == 0 {
+		a.end(t, now, id)
+	}
+	return a, h, nil
+}
+
+// Renew holds it for longer.
+func (a Account) Renew(t Terms, now int64, id string, epoch uint64, lease int64) (Account, Hold, error) {
+	h, err := a.held(now, id, epoch)
+	if err != nil {
+		return a, h, err
+	}
+	if h.Until, err = t.lease(now, lease); err != nil {
+		return a, h, err
+	}
+	a = a.clone()
+	a.Holds[id] = h
+	return a, h, nil
+}
+
+// Take makes it another holder's: what the old one sends from then on is of an epoch gone by.
+func (a Account) Take(t Terms, now int64, id, holder string, lease int64) (Account, Hold, error) {
+	h, err := a.held(now, id, a.Holds[id].Epoch)
+	if err != nil {
+		return a, h, err
+	}
+	if h.Until, err = t.lease(now, lease); err != nil {
+		return a, h, err
+	}
+	a = a.clone()
+	a.Epoch++
+	h.Epoch, h.Holder = a.Epoch, holder
+	a.Holds[id] = h
+	return a, h, nil
+}
+
+// Release gives what is left back.
+func (a Account) Release(t Terms, now int64, id string, epoch uint64) (Account, error) {
+	if _, err := a.held(now, id, epoch); err != nil {
+		return a, err
+	}
+	a = a.clone()
+	a.end(t, now, id)
+	return a, nil
+}
+
+// end ends a reservation; its id is remembered for as long as somebody may send for it.
+func (a *Account) end(t Terms, now int64, id string) {
+	delete(a.Holds, id)
+	a.Ended[id] = now + 2*t.Lease
+}
+
+// Lapse returns what is left of reservations whose holders have let them go: once a lease is over on every door's clock.
+func (a Account) Lapse(t Terms, now int64) Account {
+	var over, old []string
+	for id, h := range a.Holds {
+		if now >= h.Until+t.Skew {
+			over = append(over, id)
+		}
+	}
+	for id, until := range a.Ended {
+		if now >= until {
+			old = append(old, id)
+		}
+	}
+	if len(over)+len(old) == 0 {
+		return a
+	}
+	a = a.clone()
+	for _, id := range old {
+		delete(a.Ended, id)
+	}
+	for _, id := range over {
+		a.end(t, now, id)
+	}
+	return a
+}
+
+// Close gives the records of windows whose time is over, numbered from a sequence on, and the account without them. A
+// window that a reservation may still add to waits for nothing: what it adds makes a further record.
+func (a Account) Close(t Terms, now int64, next uint64) (Account, []Record) {
+	var records []Record
+	b := a.clone()
+	b.Windows = nil
+	for _, w := range a.clone().Windows {
+		if now < w.Start+t.Window+t.Late {
+			b.Windows = append(b.Windows, w)
+			continue
+		}
+		for _, plan := range slices.Sorted(maps.Keys(w.Used)) {
+			records = append(records, Record{next, a.Gestoria, plan, w.Start / 1e9, w.Used[plan]})
+			next++
+			w.Sent += w.Used[plan]
+		}
+		w.Used = map[string]Units{}
+		if now < w.Start+t.Window+t.Late+t.Lease+t.Skew { // a reservation of it may be open, and its room is reckoned with it
+			b.Windows = append(b.Windows, w)
+		}
+	}
+	if len(records) == 0 && len(b.Windows) == len(a.Windows) {
+		return a, nil
+	}
+	// Of changes long over the last one says what holds.
+	for len(b.Changes) > 1 && b.Changes[1].At < now-t.Window-t.Late-t.Lease {
+		b.Changes = b.Changes[1:]
+	}
+	return b, records
+}
+
+// Drop drops what was used in windows that began before a moment, and tells how many those were.
+func (a Account) Drop(before int64) (Account, int) {
+	n := len(a.Windows)
+	a = a.clone()
+	a.Windows = slices.DeleteFunc(a.Windows, func(w Window) bool { return w.Start < before })
+	return a, n - len(a.Windows)
+}
+
+// Empty says that nothing is to be kept.
+func (a Account) Empty() bool {
+	return len(a.Changes)+len(a.Windows)+len(a.Holds)+len(a.Ended) == 0
+}
--- a/internal/store/api.go
+++ b/internal/store/api.go
@@ -189,6 +189,41 @@
 	return err
 }
 
+// Leads says whether this replica takes itself for the leader.
+func (s *Store) Leads() bool { return s.raft.State() == raft.Leader }
+
+// Fresh is a key with all that has landed, read by way of the leader.
+func (s *Store) Fresh(key string) (e kv.Entry, ok bool, err error) {
+	if e, ok, err = s.get(key, true); !errors.Is(err, errElsewhere) {
+		return e, ok, err
+	}
+	_, leader := s.raft.LeaderWithID()
+	at := s.apiOf(string(leader))
+	if leader == "" || at == "" || string(leader) == s.o.Me.ID {
+		return e, false, ErrNoLeader
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), writeWait)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, "GET", "http://"+at+"/v1/kv/"+key, nil)
+	if err != nil {
+		return e, false, err
+	}
+	request.Header.Set(passedOn, s.o.Me.ID)
+	answer, err := s.client.Do(request)
+	if err != nil {
+		return e, false, err
+	}
+	defer answer.Body.Close()
+	switch answer.StatusCode {
+	case http.StatusNotFound:
+		return e, false, nil
+	case http.StatusOK:
+		err = json.NewDecoder(answer.Body).Decode(&e)
+		return e, err == nil, err
+	}
+	return e, false, errors.New(answer.Status)
+}
+
 // Edit lands edits, together or not at all, at the leader if that is another. A key that is not as asked for is
 // kv.Conflict; after any other error they may land yet.
 func (s *Store) Edit(edits []kv.Edit) error {
