--- a/internal/billd/billd.go
+++ b/internal/billd/billd.go
@@ -44,6 +44,7 @@
 	Door    string               // this door's name, one of its own in the installation
 	Terms   func() billing.Terms // as the settings have them now
 	Every   time.Duration        // between two reports of this door's use
+	Again   time.Duration        // after an export that failed, doubled up to thirty times that; 0: a second
 	Sink    Sink                 // nil: this door exports nothing
 	Now     func() time.Time     // nil: the clock
 }
@@ -90,9 +91,7 @@
 	// sweep is how often leases and windows that are over are looked for.
 	sweep = time.Second
 	// clerk is how often reports are folded into accounts.
-	clerk  = 250 * time.Millisecond
-	again  = time.Second // after an export that failed; doubled up to
-	latest = 30 * time.Second
+	clerk = 250 * time.Millisecond
 )
 
 // Start starts a desk.
@@ -100,6 +99,9 @@
 	if o.Now == nil {
 		o.Now = time.Now
 	}
+	if o.Again == 0 {
+		o.Again = time.Second
+	}
 	d := &Desk{o: o, life: o.Now().UnixNano(), used: map[use]billing.Units{}, stop: make(chan struct{})}
 	d.Changed()
 	d.loop(o.Every, d.report)
@@ -277,11 +279,14 @@
 	}
 }
 
-// account reads an account as the leader has it.
-func (d *Desk) account(gestoria string) (a billing.Account, index kv.Index, err error) {
-	e, ok, err := d.o.Replica.Fresh(accountKey + gestoria)
-	if err != nil {
-		return a, 0, err
+// account reads an account: as this replica has it, or with all that has landed. What is written with the index it
+// gives lands only if that was the last word.
+func (d *Desk) account(gestoria string, fresh bool) (a billing.Account, index kv.Index, err error) {
+	e, ok := d.o.Replica.Entry(accountKey + gestoria)
+	if fresh {
+		if e, ok, err = d.o.Replica.Fresh(accountKey + gestoria); err != nil {
+			return a, 0, err
+		}
 	}
 	if !ok {
 		return billing.Account{Gestoria: gestoria}, 0, nil
@@ -298,10 +303,15 @@
 
 // step does one step of an account. do may be called more than once.
 func (d *Desk) step(gestoria string, do func(t billing.Terms, now int64, a billing.Account) (billing.Account, error)) error {
+	fresh := false // a step that goes through on what is here costs one write; a refusal, or a conflict, looks further
 	for end := time.Now().Add(within); ; {
-		a, index, err := d.account(gestoria)
+		a, index, err := d.account(gestoria, fresh)
 		if err == nil {
 			b, refused := do(d.o.Terms(), d.o.Now().UnixNano(), a)
+			if refused != nil && !fresh {
+				fresh = true
+				continue
+			}
 			if refused != nil {
 				d.counts.Refused.Add(1)
 				return refused
@@ -322,7 +332,7 @@
 		if time.Now().After(end) {
 			return ErrStore
 		}
-		time.Sleep(2 * time.Millisecond) // another step was quicker
+		fresh = true // another step was quicker
 	}
 }
 
@@ -396,7 +406,7 @@
 
 // Show is an account as the leader has it, and its room in the window that is open.
 func (d *Desk) Show(gestoria, plan string) (a billing.Account, room billing.Units, err error) {
-	if a, _, err = d.account(gestoria); err != nil {
+	if a, _, err = d.account(gestoria, true); err != nil {
 		return a, 0, fmt.Errorf("%w (%v)", ErrStore, err)
 	}
 	t, now := d.o.Terms(), d.o.Now().UnixNano()
@@ -410,10 +420,11 @@
 	}
 	reports := d.o.Replica.Rows(useKey)
 	for _, name := range slices.Sorted(maps.Keys(reports)) {
-		e, ok, err := d.o.Replica.Fresh(useKey + name)
-		if err != nil || !ok {
-			return err
+		e, ok := d.o.Replica.Entry(useKey + name)
+		if !ok {
+			continue
 		}
+		var err error
 		var items []item
 		if err := json.Unmarshal(e.Value, &items); err != nil {
 			return fmt.Errorf("report %s: %w", name, err)
@@ -422,7 +433,7 @@
 		for _, x := range items {
 			a, ok := accounts[x.Gestoria]
 			if !ok {
-				if a, indices[x.Gestoria], err = d.account(x.Gestoria); err != nil {
+				if a, indices[x.Gestoria], err = d.account(x.Gestoria, false); err != nil {
 					return err
 				}
 			}
@@ -497,7 +508,7 @@
 
 // settle writes one account's lapsed leases and closed windows, with their records, in one write.
 func (d *Desk) settle(g string) error {
-	a, index, err := d.account(g)
+	a, index, err := d.account(g, false)
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/internal/billd/billd_test.go
@@ -0,0 +1,352 @@
+package billd
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"fawnplank/internal/billing"
+	"fawnplank/internal/store/kv"
+)
+
+// memory is a store of one replica. Some writes land and give an error all the same, others do not land.
+type memory struct {
+	mu     sync.Mutex
+	kv     *kv.State
+	at     kv.Index
+	chance *rand.Rand
+	faulty float64
+}
+
+func newMemory() *memory { return &memory{kv: kv.New(), chance: rand.New(rand.NewPCG(1, 1))} }
+
+func (m *memory) Entry(key string) (kv.Entry, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.kv.Get(key)
+}
+
+func (m *memory) Fresh(key string) (kv.Entry, bool, error) {
+	if m.fails() {
+		return kv.Entry{}, false, errors.New("no leader")
+	}
+	e, ok := m.Entry(key)
+	return e, ok, nil
+}
+
+func (m *memory) fails() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.chance.Float64() < m.faulty
+}
+
+func (m *memory) Rows(prefix string) map[string]json.RawMessage {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	all := map[string]json.RawMessage{}
+	for _, k := range m.kv.Keys(prefix) {
+		e, _ := m.kv.Get(k)
+		all[strings.TrimPrefix(k, prefix)] = e.Value
+	}
+	return all
+}
+
+func (m *memory) Leads() bool { return true }
+
+func (m *memory) Edit(edits []kv.Edit) error {
+	if m.fails() {
+		return errors.New("no leader")
+	}
+	c, err := kv.Encode(edits)
+	if err != nil {
+		return err
+	}
+	m.mu.Lock()
+	m.at++
+	_, err = m.kv.Apply(m.at, c)
+	m.mu.Unlock()
+	if err == nil && m.fails() {
+		return errors.New("the answer is lost")
+	}
+	return err
+}
+
+// receiver is a stand-in for billing's: it takes a batch by its key once, and is down, slow, or answers an error after
+// having taken one.
+type receiver struct {
+	mu     sync.Mutex
+	last   uint64
+	keys   map[string]string
+	sums   map[string]billing.Units // by gestoría
+	faulty float64
+	chance *rand.Rand
+	twice  int // batches that came again
+	bad    error
+}
+
+func newReceiver(t testing.TB) (*receiver, string) {
+	r := &receiver{keys: map[string]string{}, sums: map[string]billing.Units{}, chance: rand.New(rand.NewPCG(2, 2))}
+	s := httptest.NewServer(r)
+	t.Cleanup(s.Close)
+	return r, s.URL
+}
+
+func (r *receiver) ServeHTTP(w http.ResponseWriter, q *http.Request) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.chance.Float64() < r.faulty {
+		w.WriteHeader(503)
+		return
+	}
+	if q.Method == "GET" {
+		fmt.Fprintf(w, `{"last": %d}`, r.last)
+		return
+	}
+	key, text := q.Header.Get("Idempotency-Key"), ""
+	var batch []billing.Record
+	for in := bufio.NewScanner(q.Body); in.Scan(); {
+		var x billing.Record
+		if err := json.Unmarshal(in.Bytes(), &x); err != nil {
+			r.bad = err
+		}
+		batch, text = append(batch, x), text+in.Text()
+	}
+	if old, ok := r.keys[key]; ok {
+		if r.twice++; old != text {
+			w.WriteHeader(409)
+			return
+		}
+	} else {
+		r.keys[key] = text
+		for _, x := range batch {
+			if x.Sequence != r.last+1 {
+				r.bad = fmt.Errorf("record %d after %d", x.Sequence, r.last)
+			}
+			r.last = x.Sequence
+			r.sums[x.Gestoria] += x.Micro
+		}
+	}
+	if r.chance.Float64() < r.faulty {
+		w.WriteHeader(500) // it has taken it
+	}
+}
+
+func (r *receiver) total() (sum billing.Units, err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, u := range r.sums {
+		sum += u
+	}
+	return sum, r.bad
+}
+
+func terms() billing.Terms {
+	return billing.Terms{Window: 400e6, Lead: 50e6, Skew: 20e6, Lease: 500e6, Late: 50e6, Plans: map[string]billing.Quota{"small": {Rate: 100, Peak: 50}, "large": {Rate: 1000, Peak: 500}}}
+}
+
+func desk(m *memory, door string, sink Sink) *Desk {
+	return Start(Options{Replica: m, Door: door, Terms: terms, Every: 20 * time.Millisecond, Again: 10 * time.Millisecond, Sink: sink})
+}
+
+func wait(t *testing.T, what string, is func() bool) {
+	t.Helper()
+	for end := time.Now().Add(15 * time.Second); !is(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("not in time: " + what)
+		}
+	}
+}
+
+// Three doors report use and reserve, the store's writes fail before or after they land, the receiver fails before or
+// after it has taken a batch, and desks end without a word and start anew. What the receiver has in the end is what
+// was reported and committed, to the millionth, each record once and in order.
+func TestTotalsThroughFailures(t *testing.T) {
+	m := newMemory()
+	m.faulty = 0.1
+	r, url := newReceiver(t)
+	r.faulty = 0.3
+	sure, perhaps := billing.Units(0), billing.Units(0)
+	var mu sync.Mutex
+	add := func(to *billing.Units, n billing.Units) {
+		mu.Lock()
+		*to += n
+		mu.Unlock()
+	}
+	var wg sync.WaitGroup
+	for n := range 3 {
+		wg.Go(func() {
+			chance := rand.New(rand.NewPCG(uint64(n), 9))
+			for life := range 3 {
+				d := desk(m, fmt.Sprint("d", n), NewReceiver(url))
+				taken := billing.Units(0)
+				for i := range 30 {
+					g := fmt.Sprintf("g%d", chance.IntN(4))
+					d.Used(g, "small", time.Now().Add(-time.Duration(chance.IntN(500))*time.Millisecond), 1.5)
+					taken += 1500000
+					if i%5 != 0 {
+						time.Sleep(5 * time.Millisecond)
+						continue
+					}
+					id := fmt.Sprintf("%d-%d-%d", n, life, i)
+					h, err := d.Reserve(g, id, "me", "large", 3e6, 400*time.Millisecond)
+					if err != nil {
+						continue
+					}
+					switch _, err := d.Commit(g, id, h.Epoch, 2e6); {
+					case err == nil:
+						add(&sure, 2e6)
+					case errors.Is(err, ErrStore): // asked again, it is done once
+						a, _, err := d.Show(g, "large")
+						for ; err != nil; a, _, err = d.Show(g, "large") {
+						}
+						if a.Holds[id].Left == 1e6 {
+							add(&sure, 2e6)
+						}
+					case errors.Is(err, billing.ErrEpoch): // it landed, and its answer was lost
+						add(&sure, 2e6)
+					case !errors.Is(err, billing.ErrOver):
+						t.Error(err)
+					}
+				}
+				if life == 1 { // ends without a word: what it had not reported is lost, and no more
+					close(d.stop)
+					d.done.Wait()
+					d.mu.Lock()
+					left := billing.Units(0)
+					for _, u := range d.used {
+						left += u
+					}
+					d.mu.Unlock()
+					add(&sure, taken-left)
+					add(&perhaps, left) // its last report may have landed
+				} else {
+					d.Close()
+					add(&sure, taken)
+				}
+			}
+		})
+	}
+	wg.Wait()
+	d := desk(m, "clerk", NewReceiver(url))
+	defer d.Close()
+	wait(t, "all to be exported", func() bool {
+		_, left := d.Figures()
+		accounts := m.Rows(accountKey)
+		open := 0
+		for _, text := range accounts {
+			var a billing.Account
+			json.Unmarshal(text, &a)
+			for _, w := range a.Windows {
+				open += len(w.Used)
+			}
+			open += len(a.Holds)
+		}
+		return left == 0 && open == 0 && len(m.Rows(useKey)) == 0
+	})
+	got, err := r.total()
+	if err != nil || got < sure || got > sure+perhaps || r.twice == 0 {
+		t.Errorf("%v: the receiver has %v; sure %v, and perhaps %v; %d batches came again", err, got, sure, perhaps, r.twice)
+	}
+	t.Logf("%.1f units in %d records, %d batches came again", got.Float(), r.last, r.twice)
+}
+
+// A reservation whose holder is gone returns within its lease, the clocks' difference and a sweep, and not before.
+func TestReservationsReturnInTheirTime(t *testing.T) {
+	m := newMemory()
+	d := desk(m, "d", nil)
+	began := time.Now()
+	if _, err := d.Reserve("g", "r", "gone", "small", 10e6, 300*time.Millisecond); err != nil {
+		t.Fatal(err)
+	}
+	d.Close()
+	other := desk(m, "e", nil)
+	defer other.Close()
+	held := func() bool {
+		a, _, err := other.Show("g", "small")
+		return err != nil || len(a.Holds) > 0
+	}
+	wait(t, "its return", func() bool { return !held() })
+	took := time.Since(began)
+	if least, most := 320*time.Millisecond, 320*time.Millisecond+sweep+500*time.Millisecond; took < least || took > most {
+		t.Errorf("returned after %v, not from %v to %v", took, least, most)
+	}
+}
+
+// The store put back to an old copy: nothing is exported anew until somebody says from where, and what may have been
+// exported is not exported again then.
+func TestAnOldCopyExportsNothingAnew(t *testing.T) {
+	m := newMemory()
+	r, url := newReceiver(t)
+	d := desk(m, "d", NewReceiver(url))
+	use := func(d *Desk, n float64) { d.Used("g", "small", time.Now(), n) }
+	use(d, 5)
+	wait(t, "a first export", func() bool { sum, _ := r.total(); return sum == 5e6 })
+	use(d, 6)
+	time.Sleep(100 * time.Millisecond) // reported and folded, and its window is open
+	wait(t, "the report to be folded", func() bool { return len(m.Rows(useKey)) == 0 && len(m.Rows(accountKey)) == 1 })
+	m.mu.Lock()
+	old, err := m.kv.Snapshot()
+	m.mu.Unlock()
+	if err != nil {
+		t.Fatal(err)
+	}
+	use(d, 2)
+	wait(t, "a second export", func() bool { sum, _ := r.total(); return sum == 13e6 })
+	d.Close()
+	m.mu.Lock()
+	m.kv, _ = kv.Load(old)
+	m.at += 10
+	m.mu.Unlock()
+	d = desk(m, "d", NewReceiver(url))
+	defer d.Close()
+	wait(t, "a halt", func() bool { return strings.Contains(d.Halted(), "old copy") || strings.Contains(d.Halted(), "409") })
+	if sum, bad := r.total(); sum != 13e6 || bad != nil {
+		t.Errorf("%v exported anew, %v", sum, bad)
+	}
+	if _, _, err := Resume(m, r.last, time.Now()); err != nil {
+		t.Fatal(err)
+	}
+	use(d, 7)
+	wait(t, "an export after it", func() bool { sum, _ := r.total(); return sum == 20e6 })
+	if _, bad := r.total(); bad != nil {
+		t.Error(bad)
+	}
+	if _, _, err := Resume(m, 0, time.Now()); err == nil {
+		t.Error("it may go back behind what is exported")
+	}
+}
+
+func TestFolderTakesABatchOnce(t *testing.T) {
+	f := Folder(t.TempDir())
+	batch := []billing.Record{{Sequence: 3, Gestoria: "g", Plan: "p", Window: 60, Micro: 5}, {Sequence: 4, Gestoria: "h", Plan: "p", Window: 60, Micro: 6}}
+	for range 2 {
+		if err := f.Send(context.Background(), batch); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if last, err := f.Last(context.Background()); err != nil || last != 4 {
+		t.Error(last, err)
+	}
+	text, err := os.ReadFile(filepath.Join(string(f), "use-000000000003-000000000004.jsonl"))
+	if err != nil || string(text) != `{"sequence":3,"gestoria":"g","plan":"p","window_unix_s":60,"micro_units":5}`+"\n"+`{"sequence":4,"gestoria":"h","plan":"p","window_unix_s":60,"micro_units":6}`+"\n" {
+		t.Errorf("%v: %s", err, text)
+	}
+	batch[0].Micro++
+	if err := f.Send(context.Background(), batch); err == nil {
+		t.Error("another text under the same name")
+	}
+	if _, err := Folder(string(f) + "/none").Last(context.Background()); err == nil {
+		t.Error("a folder that is not there")
+	}
+}
--- a/internal/billd/export.go
+++ b/internal/billd/export.go
@@ -26,7 +26,7 @@
 type Sink interface {
 	// Last is the last sequence that it has; 0: none.
 	Last(ctx context.Context) (uint64, error)
-	// Send gives it a batch. After an error it may have taken it.
+	// Send gives it a batch. After an error it may have taken it. One that it knows with another content is an error.
 	Send(ctx context.Context, batch []billing.Record) error
 }
 
@@ -160,7 +160,7 @@
 		if err != nil {
 			said = err.Error()
 			d.counts.Failures.Add(1)
-			pause = min(max(2*pause, again), latest)
+			pause = min(max(2*pause, d.o.Again), 30*d.o.Again)
 		} else if pause = d.o.Every; sent {
 			pause = 0
 		}
@@ -208,22 +208,21 @@
 		}
 		return false, errAhead
 	}
-	if has < s.Last {
-		var batch []billing.Record
-		for n := s.First; n <= s.Last; n++ {
-			e, ok, err := d.o.Replica.Fresh(recordAt(n))
-			if err != nil {
-				return false, err
-			}
-			var r billing.Record
-			if !ok || json.Unmarshal(e.Value, &r) != nil || r.Sequence != n {
-				return false, fmt.Errorf("record %d is missing in the store", n)
-			}
-			batch = append(batch, r)
-		}
-		if err := d.o.Sink.Send(ctx, batch); err != nil {
-			return false, err
+	if e, _ := d.o.Replica.Entry(exportKey); e.Index < index { // this replica has yet to hear of the batch, and of its records
+		return false, nil
+	}
+	var batch []billing.Record
+	for n := s.First; n <= s.Last; n++ {
+		e, ok := d.o.Replica.Entry(recordAt(n))
+		var r billing.Record
+		if !ok || json.Unmarshal(e.Value, &r) != nil || r.Sequence != n {
+			return false, fmt.Errorf("record %d is missing in the store", n)
 		}
+		batch = append(batch, r)
+	}
+	// Also where the receiver has them all: that they are the same is for it to say.
+	if err := d.o.Sink.Send(ctx, batch); err != nil {
+		return false, err
 	}
 	var edits []kv.Edit
 	for n := s.First; n <= s.Last; n++ {
