Accounts at the front doors: commands by keys with rights, use noted as it is answered, TLS on the limits' address

The limits' address takes PLAN and RESERVE commands of keys that may (AUTH), and speaks TLS where a certificate is named, mutual where an authority is; certificates are read again when their files change. A front door with billing on takes a customer's transactions under the plan that a change has brought, and notes what is fulfilled under the plan it was taken under. It begins to serve once the store and the accounts are open, so that no transaction goes unbilled. Off: one nil check.

--- a/cmd/fawnplank/commands.go
+++ b/cmd/fawnplank/commands.go
@@ -50,7 +50,7 @@
     --peers a@127.0.0.1:7001@127.0.0.1:7101,b@127.0.0.1:7002@127.0.0.1:7102,c@127.0.0.1:7003@127.0.0.1:7103`,
 		RunE: func(*cobra.Command, []string) error { return serve(path, operator, level, format, replica) }}
 	replica.flags(serving)
-	c.AddCommand(serving, storeCommand(), dnsCommand(&operator))
+	c.AddCommand(serving, storeCommand(), dnsCommand(&operator), billingCommand())
 	c.AddCommand(&cobra.Command{Use: "check [FILE]", Short: "Read the configuration, or an operator file, and say what is wrong with it",
 		Long: `Reads what serve would read, by the same code, and says what is wrong: the configuration with its key, the operator
 file with file, line and key, the zone file that it names with file and line. With FILE, an operator file alone is read. Ends with status 1 if anything is wrong.`,
--- a/cmd/fawnplank/dns.go
+++ b/cmd/fawnplank/dns.go
@@ -218,7 +218,16 @@
 	return e, err == nil && json.Unmarshal(text, &e) == nil
 }
 
-func (f far) Edit([]kv.Edit) error { return errors.New("is only read") }
+func (f far) Edit(edits []kv.Edit) error {
+	body, err := json.Marshal(edits)
+	if err == nil {
+		_, err = callStore("POST", f.api, "/v1/edits", body)
+	}
+	if err != nil && strings.HasPrefix(err.Error(), "409") {
+		return kv.Conflict{}
+	}
+	return err
+}
 
 // show writes the list, an entry a line.
 func show(out io.Writer, z *zone.Zone, source string) error {
--- a/cmd/fawnplank/limits.go
+++ b/cmd/fawnplank/limits.go
@@ -1,21 +1,25 @@
 package main
 
 import (
+	"crypto/tls"
 	"net"
 	"time"
 
+	"fawnplank/internal/billd"
+	"fawnplank/internal/certs"
 	"fawnplank/internal/config"
 	"fawnplank/internal/facade"
 	"fawnplank/internal/limitd"
 	"fawnplank/internal/logs"
 	"fawnplank/internal/metrics"
+	"fawnplank/internal/rights"
 )
 
 // limits is the server of limit commands; a nil one is off.
 type limits struct{ *limitd.Server }
 
 // serveLimits starts it, where the operator file names an address.
-func serveLimits(f *facade.Facade, figures *metrics.Figures, start *config.Start, set *config.Operator) (*limits, error) {
+func serveLimits(f *facade.Facade, figures *metrics.Figures, start *config.Start, set *config.Operator, accounts *billd.Desk) (*limits, error) {
 	if set.Limits.Listen == "" {
 		return nil, nil
 	}
@@ -23,7 +27,23 @@
 	if err != nil {
 		return nil, err
 	}
+	if files := set.Limits.TLS(); files.On() {
+		source, err := certs.New(files)
+		if err != nil {
+			return nil, err
+		}
+		l = tls.NewListener(l, source.Server())
+		figures.Watch(map[string]metrics.Watched{"limits_certificate_seconds": {Help: "until the limits' certificate runs out",
+			Value: func() float64 { return source.Left().Seconds() }}})
+	}
 	s := limitd.New(f, limitNames(start, set), set.Limits.Connections)
+	s.Keys = map[string]rights.Key{}
+	for _, k := range set.Limits.Keys {
+		s.Keys[k.Name] = k.Key
+	}
+	if accounts != nil {
+		s.Accounts = accounts
+	}
 	counts := func(n int) func() float64 {
 		return func() float64 {
 			granted, refused, faulty := s.Counts()
--- a/cmd/fawnplank/main.go
+++ b/cmd/fawnplank/main.go
@@ -142,13 +142,8 @@
 	}
 	server := front.New(f, pool, start, part)
 	server.Figures, server.Room = figures, room.New(start.MemoryBytes/6)
-	limits, err := serveLimits(f, figures, start, set)
-	if err != nil {
-		return fmt.Errorf("operator file: limits.listen: %w", err)
-	}
-	served, stopped := make(chan error, 1), make(chan struct{})
-	go func() { served <- server.Serve(listener) }()
-	kept, edited, err := openStore(replica, path, operator, names.changed)
+	billed := newAccounts()
+	kept, edited, err := openStore(replica, path, operator, names.changed, billed.changed)
 	if err != nil {
 		return err
 	}
@@ -157,6 +152,18 @@
 		return fmt.Errorf("operator file: dns: %w", err)
 	}
 	defer names.close()
+	if err := billed.start(kept, start, set, figures); err != nil {
+		return fmt.Errorf("operator file: billing: %w", err)
+	}
+	limits, err := serveLimits(f, figures, start, set, billed.desk)
+	if err != nil {
+		return fmt.Errorf("operator file: limits.listen: %w", err)
+	}
+	if billed.desk != nil { // before the first transaction is taken: each is billed, or none
+		server.Ledger = billed.desk
+	}
+	served, stopped := make(chan error, 1), make(chan struct{})
+	go func() { served <- server.Serve(listener) }()
 	d := &door{server: server, figures: figures}
 	if start.Mgmt != "" {
 		m, err := admin.New(start.Mgmt, d)
@@ -195,6 +202,7 @@
 					server.Retune(fresh)
 					limits.Retune(limitNames(fresh, set))
 					names.reload()
+					billed.retune(fresh, set)
 					figures.Classes(classes(fresh))
 					start = fresh
 				}
@@ -205,6 +213,7 @@
 				go func() {
 					stop(server, listener, start.Terms)
 					limits.Close()
+					billed.close() // with all that was answered
 					close(stopped)
 				}()
 			}
--- a/cmd/fawnplank/store.go
+++ b/cmd/fawnplank/store.go
@@ -16,6 +16,7 @@
 
 	"github.com/spf13/cobra"
 
+	"fawnplank/internal/billd"
 	"fawnplank/internal/config"
 	"fawnplank/internal/dnsd"
 	"fawnplank/internal/logs"
@@ -62,8 +63,8 @@
 func fullDisks() { signal.Ignore(syscall.SIGXFSZ) }
 
 // openStore starts the replica, where there is one. Something comes on edited when a plan or class has changed; zone is
-// called when a part of the zone has.
-func openStore(f storeFlags, path, operator string, zone func()) (*kept, chan struct{}, error) {
+// called when a part of the zone has, and accounts when an account has.
+func openStore(f storeFlags, path, operator string, zone, accounts func()) (*kept, chan struct{}, error) {
 	if f.dir == "" {
 		return nil, nil, nil
 	}
@@ -77,6 +78,9 @@
 		if slices.ContainsFunc(keys, func(k string) bool { return strings.HasPrefix(k, dnsd.Keys) }) {
 			zone()
 		}
+		if slices.ContainsFunc(keys, func(k string) bool { return strings.HasPrefix(k, billd.Keys) }) {
+			accounts()
+		}
 		for _, k := range keys {
 			if strings.HasPrefix(k, config.PlanKey) || strings.HasPrefix(k, config.ClassKey) {
 				select {
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -3,11 +3,16 @@
 import (
 	"fmt"
 	"net"
+	"net/url"
 	"os"
 	"slices"
+	"strings"
 	"time"
 
+	"fawnplank/internal/billing"
+	"fawnplank/internal/certs"
 	"fawnplank/internal/dnsd"
+	"fawnplank/internal/rights"
 	"fawnplank/internal/tomlfile"
 	"fawnplank/internal/zone"
 	"fawnplank/policy"
@@ -21,6 +26,33 @@
 	Log     Log           `toml:"log"`
 	Learned Learned       `toml:"learned"`
 	DNS     DNS           `toml:"dns"`
+	Billing Billing       `toml:"billing"`
+}
+
+// Billing are plan changes, reservations and exported use, on the replicated store.
+type Billing struct {
+	On     bool     `toml:"on"`
+	Window Duration `toml:"window"`       // use is billed by
+	Lead   Duration `toml:"lead"`         // that a plan change is made known ahead
+	Skew   Duration `toml:"clock_skew"`   // between two doors at most
+	Lease  Duration `toml:"lease"`        // of a reservation at most
+	Late   Duration `toml:"late"`         // after a window until it is exported
+	Every  Duration `toml:"report_every"` // between two reports of a door's use
+	Folder string   `toml:"export_folder"`
+	URL    string   `toml:"export_url"`
+}
+
+// Terms are the accounts' terms, but for the plans.
+func (b Billing) Terms() billing.Terms {
+	return billing.Terms{Window: int64(b.Window), Lead: int64(b.Lead), Skew: int64(b.Skew), Lease: int64(b.Lease), Late: int64(b.Late)}
+}
+
+// LimitKey is what a tool shows before it may do more than check.
+type LimitKey struct {
+	Name   string     `toml:"name"`
+	File   string     `toml:"secret_file"` // for its owner's eyes alone
+	Rights []string   `toml:"rights"`      // check, read, reserve, change
+	Key    rights.Key `toml:"-"`
 }
 
 // DNS is a zone that the list of backends comes from, in place of discovery.
@@ -63,6 +95,11 @@
 	Listen      string   `toml:"listen"`        // where tools connect; empty: off
 	Within      Duration `toml:"answer_within"` // for an answer
 	Connections int      `toml:"connections"`   // at most
+
+	Certificate string     `toml:"tls_certificate"`
+	Key         string     `toml:"tls_key"`
+	Authority   string     `toml:"tls_authority"` // of clients' certificates; empty: none is asked for
+	Keys        []LimitKey `toml:"key"`
 }
 
 // CounterFormat is how the counter is spoken to.
@@ -88,14 +125,21 @@
 	defaultWithin      = Duration(750e6) // the promised time that users know
 	defaultEvery       = Duration(5e9)   // what is known of a backend fades by two thirds meanwhile
 	defaultConnections = 64              // tools, not customers
-	defaultUpdates     = 100             // a second: a fleet of thousands that is replaced within a minute
-	defaultAlgorithm   = "hmac-sha256"   // the one that every updater must know (RFC 8945, 6)
+	defaultWindow      = Duration(3600e9)
+	defaultLead        = Duration(10e9) // twice what a write may take while a leader is elected
+	defaultSkew        = Duration(1e9)  // clocks kept by NTP differ by far less
+	defaultLease       = Duration(600e9)
+	defaultLate        = Duration(60e9)
+	defaultReport      = Duration(1e9) // what a door that is killed has not told
+	defaultUpdates     = 100           // a second: a fleet of thousands that is replaced within a minute
+	defaultAlgorithm   = "hmac-sha256" // the one that every updater must know (RFC 8945, 6)
 )
 
 // ReadOperator reads an operator file whole and checks it; an empty path sets nothing. Errors name file, line and
 // key.
 func ReadOperator(path string) (*Operator, error) {
-	o := &Operator{Limits: Limits{Within: defaultWithin, Connections: defaultConnections}, Counter: CounterFormat{"text"}, Log: Log{"text", "info"}, Learned: Learned{Every: defaultEvery}, DNS: DNS{Rate: defaultUpdates}}
+	o := &Operator{Limits: Limits{Within: defaultWithin, Connections: defaultConnections}, Counter: CounterFormat{"text"}, Log: Log{"text", "info"}, Learned: Learned{Every: defaultEvery}, DNS: DNS{Rate: defaultUpdates},
+		Billing: Billing{Window: defaultWindow, Lead: defaultLead, Skew: defaultSkew, Lease: defaultLease, Late: defaultLate, Every: defaultReport}}
 	if path == "" {
 		return o, nil
 	}
@@ -131,9 +175,80 @@
 	if err := o.DNS.check(f); err != nil {
 		return nil, err
 	}
+	if err := o.Limits.check(f); err != nil {
+		return nil, err
+	}
+	if err := o.Billing.check(f); err != nil {
+		return nil, err
+	}
 	return o, nil
 }
 
+// TLS are the files of the limits' address.
+func (l Limits) TLS() certs.Files {
+	return certs.Files{Certificate: l.Certificate, Key: l.Key, Authority: l.Authority}
+}
+
+// check reads keys and certificates.
+func (l *Limits) check(f *tomlfile.File) error {
+	if l.TLS().On() {
+		if _, err := certs.New(l.TLS()); err != nil {
+			return f.Fault("limits.tls_certificate", "cannot be used: "+err.Error())
+		}
+	}
+	names := map[string]bool{}
+	for n := range l.Keys {
+		k, at := &l.Keys[n], fmt.Sprintf("limits.key[%d]", n)
+		if k.Name == "" || names[k.Name] {
+			return f.Fault(at+".name", fmt.Sprintf("is %q: missing, or another key's", k.Name))
+		}
+		names[k.Name] = true
+		info, err := os.Stat(k.File)
+		if err != nil {
+			return f.Fault(at+".secret_file", "cannot be read: "+err.Error())
+		}
+		text, err := os.ReadFile(k.File)
+		if err != nil || info.Mode().Perm()&0o077 != 0 || len(strings.TrimSpace(string(text))) < 16 {
+			return f.Fault(at+".secret_file", fmt.Sprintf("%q cannot be read, may be read by others than its owner, or holds less than 16 bytes", k.File))
+		}
+		k.Key.Secret = []byte(strings.TrimSpace(string(text)))
+		if len(k.Rights) == 0 {
+			return f.Fault(at+".rights", "is missing")
+		}
+		for _, r := range k.Rights {
+			if rights.Names[r] == 0 {
+				return f.Fault(at+".rights", fmt.Sprintf("has %q, not check, read, reserve or change", r))
+			}
+			k.Key.Rights |= rights.Names[r]
+		}
+	}
+	return nil
+}
+
+// check goes through the settings of the accounts.
+func (b *Billing) check(f *tomlfile.File) error {
+	for _, x := range []struct {
+		key         string
+		is          Duration
+		least, most Duration
+	}{{"window", b.Window, 1e9, 31 * 86400e9}, {"lead", b.Lead, 1e8, 86400e9}, {"clock_skew", b.Skew, 1e6, 60e9}, {"lease", b.Lease, 1e8, 86400e9},
+		{"late", b.Late, 1e8, 86400e9}, {"report_every", b.Every, 1e7, 60e9}} {
+		if x.is < x.least || x.is > x.most {
+			return f.Fault("billing."+x.key, fmt.Sprintf("is not from %v to %v", time.Duration(x.least), time.Duration(x.most)))
+		}
+	}
+	if b.Folder != "" && b.URL != "" {
+		return f.Fault("billing.export_url", "stands beside export_folder; one of them receives")
+	}
+	if u, err := url.Parse(b.URL); b.URL != "" && (err != nil || u.Host == "" || u.Scheme != "http" && u.Scheme != "https") {
+		return f.Fault("billing.export_url", fmt.Sprintf("is %q, which is no http or https address", b.URL))
+	}
+	if info, err := os.Stat(b.Folder); b.Folder != "" && (err != nil || !info.IsDir()) {
+		return f.Fault("billing.export_folder", fmt.Sprintf("is %q, which is no folder", b.Folder))
+	}
+	return nil
+}
+
 // check goes through the settings of the zone, and reads the keys' secrets.
 func (d *DNS) check(f *tomlfile.File) (err error) {
 	if d.Zone == "" {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -70,11 +70,27 @@
 	ids     map[string]struct{} // of the open transactions
 	Figures *metrics.Figures    // counted here: transactions taken, open and answered
 	Room    *room.Room          // for large commands, beside the backends' large answers
+	Ledger  Ledger              // nil: nobody asks what was used
 	// drained is when the drain began, in Unix ns; 0: there is none. closing: Close was called.
 	drained atomic.Int64
 	closing atomic.Bool
 }
 
+// Ledger knows the plans that customers have gone over to, and is told what is used.
+type Ledger interface {
+	// Plan is the plan that the customer's transactions are taken under now; false: the one that they name.
+	Plan(customer string) (plan string, ok bool)
+	// Used is told of a transaction that was taken at a moment under a plan, and fulfilled.
+	Used(customer, plan string, taken time.Time, units float64)
+}
+
+// bill is what a transaction is billed by: as it was when it was taken, whatever changes until it is answered.
+type bill struct {
+	customer, plan string
+	taken          time.Time
+	units          float64
+}
+
 // settle is how long a drained door goes on serving its connections before it closes them as they fall idle: the
 // front asks ten times a second and stops new connections 0.2 s after a no, which it has heard by then. All are
 // closed before 4 s, when the front takes one still open for a lost one.
@@ -289,6 +305,7 @@
 	wait    [2]int // where the figure of d stands
 	answer  []byte
 	large   int64 // of the room, held by raw
+	bill    *bill // nil: nobody asks
 }
 
 // resting tells since when nothing has been open on the connection, and how much it would be missed. One that is
@@ -501,7 +518,7 @@
 	s := c.server.start.Load()
 	class, plan, doors := -1, -1, max(s.Terms.Doors, 1)
 	left, units, entries, first := int64(-1), 1.0, 1, 0
-	var wait []byte
+	var wait, named []byte
 	for seen, rest, more := "", args[3], true; more; {
 		var pair []byte
 		pair, rest, more = bytes.Cut(rest, []byte(","))
@@ -520,7 +537,7 @@
 			}
 		case "t":
 			id, ok := s.Plans[string(value)]
-			plan, bad = int(id), !ok
+			plan, named, bad = int(id), value, !ok
 		case "d":
 			ms, ok := number(value)
 			left, wait, bad = config.Nanoseconds(ms), value, !ok
@@ -568,6 +585,14 @@
 		k.raw = bytes.Clone(raw)
 	}
 	k.profile = pr
+	if l := c.server.Ledger; l != nil {
+		k.bill = &bill{strings.ToLower(string(args[1])), string(named), time.Now(), units}
+		if now, ok := l.Plan(k.bill.customer); ok {
+			if id, known := s.Plans[now]; known { // one that this door's settings lack: it goes by the one named
+				plan, k.bill.plan = int(id), now
+			}
+		}
+	}
 	c.server.Figures.Taken()
 	k.t = c.server.facade.Take(pr, policy.PlanID(plan), policy.CustomerID(customer),
 		time.Duration(left), units, entries, first)
@@ -615,6 +640,9 @@
 			k.client.server.pool.Send(step.Shot, k.parts(step.Shot.Left()))
 		case facade.Fulfil:
 			k.client.server.Figures.Ended(k.profile, metrics.Success)
+			if k.bill != nil {
+				k.client.server.Ledger.Used(k.bill.customer, k.bill.plan, k.bill.taken, k.bill.units)
+			}
 			k.client.finish(k, step.Answer)
 			return
 		case facade.Dismiss:
--- a/internal/limitd/limitd.go
+++ b/internal/limitd/limitd.go
@@ -28,6 +28,7 @@
 	"github.com/tidwall/redcon"
 
 	"fawnplank/internal/facade"
+	"fawnplank/internal/rights"
 	"fawnplank/policy"
 )
 
@@ -62,6 +63,9 @@
 	open   atomic.Int64
 	counts [3]atomic.Uint64 // checks granted, checks refused, commands in error
 	once   sync.Once
+
+	Accounts Accounts              // nil: no commands on accounts. To be set before Serve, as the keys are
+	Keys     map[string]rights.Key // by name; empty: no AUTH
 }
 
 // New makes a server for at most so many connections.
@@ -114,7 +118,12 @@
 		b.read = 0
 	}
 	batch := append([]redcon.Command{first}, c.ReadPipeline()...)
-	answers, last := s.run(batch)
+	may, known := c.Context().(rights.Right)
+	if !known && len(s.Keys) == 0 {
+		may = rights.Check
+	}
+	answers, last := s.run(batch, &may)
+	c.SetContext(may)
 	c.WriteRaw(answers)
 	if last {
 		c.Close()
@@ -132,7 +141,7 @@
 
 // run gives the answers to a batch of commands, in their order; last says that the connection is to end. Checks that
 // stand one behind another wait for the counter together; any other command sees what those before it did.
-func (s *Server) run(batch []redcon.Command) (out []byte, last bool) {
+func (s *Server) run(batch []redcon.Command, may *rights.Right) (out []byte, last bool) {
 	names := s.names.Load()
 	var waiting []check
 	settle := func() {
@@ -146,6 +155,12 @@
 		if len(cmd.Args) > 0 {
 			word = strings.ToUpper(string(cmd.Args[0][:min(len(cmd.Args[0]), 32)]))
 		}
+		if needs(word)&^*may != 0 && (arity[word] == 0 || s.Accounts != nil) {
+			settle()
+			s.counts[2].Add(1)
+			out = redcon.AppendError(out, "NOPERM this connection has no key (AUTH name secret) that may "+strings.ToLower(word))
+			continue
+		}
 		if word == "LIMIT.CHECK" || word == "CL.THROTTLE" {
 			k, err := s.begin(names, cmd.Args[1:])
 			k.seconds = word[0] == 'C'
@@ -167,7 +182,18 @@
 			out = redcon.AppendArray(out, 0)
 		case "LIMIT.PEEK":
 			out = s.peek(out, names, cmd.Args[1:])
+		case "AUTH":
+			granted, err := s.auth(cmd.Args[1:])
+			if *may = granted; err != nil {
+				out = s.fault(out, word, err)
+			} else {
+				out = redcon.AppendOK(out)
+			}
 		default:
+			var known bool
+			if out, known = s.account(out, word, cmd.Args[1:]); known {
+				continue
+			}
 			out = s.fault(out, "", fmt.Errorf("unknown command '%.32s'", printable(word)))
 		}
 	}
--- a/internal/limitd/limitd_test.go
+++ b/internal/limitd/limitd_test.go
@@ -19,6 +19,7 @@
 	"fawnplank/internal/lab/emu"
 	"fawnplank/internal/lab/record"
 	"fawnplank/internal/lab/scenario"
+	"fawnplank/internal/rights"
 	"fawnplank/policy"
 )
 
@@ -365,7 +366,8 @@
 		if quits >= 0 {
 			want = quits + 1
 		}
-		out, last := h.server.run(batch)
+		may := rights.Check
+		out, last := h.server.run(batch, &may)
 		count := 0
 		for len(out) > 0 {
 			n, _ := redcon.ReadNextRESP(out)
@@ -418,6 +420,7 @@
 	batch := []redcon.Command{cmd}
 	b.ReportAllocs()
 	for b.Loop() {
-		h.server.run(batch)
+		may := rights.Check
+		h.server.run(batch, &may)
 	}
 }
