--- a/cmd/fawnplank-lab/main.go
+++ b/cmd/fawnplank-lab/main.go
@@ -17,6 +17,7 @@
 	"github.com/spf13/cobra"
 	"golang.org/x/sync/errgroup"
 
+	"fawnplank/internal/lab/accounts"
 	"fawnplank/internal/lab/emu"
 	"fawnplank/internal/lab/load"
 	"fawnplank/internal/lab/model"
@@ -44,7 +45,7 @@
 simulated time, at sizes that sockets do not reach. The five rules are checked in every run.`,
 		SilenceUsage: true, SilenceErrors: true}
 	c.CompletionOptions.DisableDefaultCmd = true
-	c.AddCommand(runCommand(), checkCommand(), loadCommand(), reportCommand(), sweepCommand(), standInsCommand(), zoneCommand())
+	c.AddCommand(runCommand(), checkCommand(), loadCommand(), reportCommand(), sweepCommand(), standInsCommand(), zoneCommand(), accountsCommand())
 	return c
 }
 
@@ -256,6 +257,30 @@
 	return c
 }
 
+func accountsCommand() *cobra.Command {
+	var clients []int
+	var span time.Duration
+	c := &cobra.Command{Use: "accounts", Short: "Measure reservations on three replicas, with and without TLS", Args: cobra.NoArgs,
+		Example: "  fawnplank lab accounts --clients 1,8 --span 10s",
+		RunE: func(c *cobra.Command, _ []string) error {
+			logrus.SetLevel(logrus.ErrorLevel)
+			var all []accounts.Cost
+			for _, n := range clients {
+				for _, secure := range []bool{false, true} {
+					cost, err := accounts.Measure(c.Context(), secure, n, span)
+					if err != nil {
+						return err
+					}
+					all = append(all, cost)
+				}
+			}
+			return accounts.Table(c.OutOrStdout(), all)
+		}}
+	c.Flags().IntSliceVar(&clients, "clients", []int{1, 8}, "connections that send one command after the other")
+	c.Flags().DurationVar(&span, "span", 5*time.Second, "time for which they send")
+	return c
+}
+
 func sweepCommand() *cobra.Command {
 	var o over
 	var picture string
--- a/cmd/fawnplank/billing.go
+++ b/cmd/fawnplank/billing.go
@@ -103,17 +103,13 @@
 func billingCommand() *cobra.Command {
 	c := &cobra.Command{Use: "billing VERB", Short: "Change plans, reserve allowance, mend the export (docs/billing.md)"}
 	var at, name, file string
-	var files certs.Files
 	c.PersistentFlags().StringVar(&at, "at", "127.0.0.1:6390", "the limits' address of any front door")
 	c.PersistentFlags().StringVar(&name, "key", "", "name of the key to show")
 	c.PersistentFlags().StringVar(&file, "secret-file", "", "file with its secret")
-	c.PersistentFlags().StringVar(&files.Certificate, "tls-certificate", "", "certificate to show; TLS is spoken where it is given")
-	c.PersistentFlags().StringVar(&files.Key, "tls-key", "", "its key")
-	c.PersistentFlags().StringVar(&files.Authority, "tls-authority", "", "authority to check the door's certificate by")
 	verb := func(use, word, short, example string, n int) {
 		c.AddCommand(&cobra.Command{Use: use, Short: short, Example: "  fawnplank billing " + example, Args: cobra.ExactArgs(n),
 			RunE: func(c *cobra.Command, args []string) error {
-				return say(c.OutOrStdout(), at, name, file, files, append([]string{word}, args...))
+				return say(c.OutOrStdout(), at, name, file, tlsFiles, append([]string{word}, args...))
 			}})
 	}
 	const g = "0000000000000005 "
--- a/cmd/fawnplank/commands.go
+++ b/cmd/fawnplank/commands.go
@@ -40,6 +40,9 @@
 	c.PersistentFlags().StringVar(&operator, "operator", os.Getenv("GW_OPERATOR"), "operator file, TOML (default: the one that GW_OPERATOR names, or none)")
 	c.PersistentFlags().StringVar(&level, "log-level", "", "least level of what is logged: error, warning, info or debug (default: the operator file's, or info)")
 	c.PersistentFlags().StringVar(&format, "log-format", "", "form of the log: text or json (default: the operator file's, or text)")
+	c.PersistentFlags().StringVar(&tlsFiles.Certificate, "tls-certificate", "", "certificate of a replica, or of a command towards one or a limits' address; TLS is spoken where it is given")
+	c.PersistentFlags().StringVar(&tlsFiles.Key, "tls-key", "", "its key")
+	c.PersistentFlags().StringVar(&tlsFiles.Authority, "tls-authority", "", "authority to check the other side's certificate by")
 	var replica storeFlags
 	serving := &cobra.Command{Use: "serve", Short: "Run a front door until SIGTERM", Args: cobra.NoArgs,
 		Long: `Runs a front door. SIGHUP reads the configuration again, whole or not at all; on SIGTERM the door goes on
--- a/cmd/fawnplank/main.go
+++ b/cmd/fawnplank/main.go
@@ -148,6 +148,7 @@
 		return err
 	}
 	defer kept.Close()
+	kept.watch(figures)
 	if err := names.start(kept, figures); err != nil {
 		return fmt.Errorf("operator file: dns: %w", err)
 	}
--- a/cmd/fawnplank/store.go
+++ b/cmd/fawnplank/store.go
@@ -17,12 +17,18 @@
 	"github.com/spf13/cobra"
 
 	"fawnplank/internal/billd"
+	"fawnplank/internal/certs"
 	"fawnplank/internal/config"
 	"fawnplank/internal/dnsd"
 	"fawnplank/internal/logs"
+	"fawnplank/internal/metrics"
 	"fawnplank/internal/store"
 )
 
+// tlsFiles are the flags' certificate, key and authority: of a replica on both its addresses and towards the others, and
+// of commands towards replicas and limits' addresses.
+var tlsFiles certs.Files
+
 // storeFlags say where a replica of the store is, and which others there are.
 type storeFlags struct {
 	dir, me string
@@ -37,6 +43,14 @@
 
 func (f *storeFlags) options() (o store.Options, err error) {
 	o.Dir = f.dir
+	if tlsFiles.On() {
+		if o.TLS, err = certs.New(tlsFiles); err != nil {
+			return o, err
+		}
+		if tlsFiles.Authority == "" {
+			return o, errors.New("--tls-authority is missing: replicas check each other by it")
+		}
+	}
 	if o.Me, err = store.ParsePeer(f.me); err != nil {
 		return o, fmt.Errorf("--me: %w", err)
 	}
@@ -56,7 +70,18 @@
 }
 
 // kept is the front door's replica; a nil one is off.
-type kept struct{ *store.Store }
+type kept struct {
+	*store.Store
+	tls *certs.Source // nil: none
+}
+
+// watch shows until when the replica's certificate holds.
+func (k *kept) watch(figures *metrics.Figures) {
+	if k != nil && k.tls != nil {
+		figures.Watch(map[string]metrics.Watched{"store_certificate_seconds": {Help: "until the replica's certificate runs out",
+			Value: func() float64 { return k.tls.Left().Seconds() }}})
+	}
+}
 
 // fullDisks lets a write beyond a limit on file sizes fail as one on a full disk does, with an error that is told, in
 // place of ending the process.
@@ -113,7 +138,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	return &kept{s}, edited, nil
+	return &kept{s, o.TLS}, edited, nil
 }
 
 // Close ends the replica.
@@ -213,11 +238,19 @@
 
 // callStore makes one call to a replica's API.
 func callStore(method, at, path string, body []byte) ([]byte, error) {
-	request, err := http.NewRequest(method, "http://"+at+path, bytes.NewReader(body))
+	scheme, way := "http://", &http.Transport{DisableKeepAlives: true}
+	if tlsFiles.On() {
+		source, err := certs.New(tlsFiles)
+		if err != nil {
+			return nil, err
+		}
+		scheme, way.TLSClientConfig = "https://", source.Client()
+	}
+	request, err := http.NewRequest(method, scheme+at+path, bytes.NewReader(body))
 	if err != nil {
 		return nil, err
 	}
-	answer, err := (&http.Client{Timeout: 15 * time.Second}).Do(request)
+	answer, err := (&http.Client{Timeout: 15 * time.Second, Transport: way}).Do(request)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/billd/billd.go
+++ b/internal/billd/billd.go
@@ -88,8 +88,8 @@
 	mostItems = 400
 	// mostBatch bounds what is sent at once.
 	mostBatch = 200
-	// sweep is how often leases and windows that are over are looked for.
-	sweep = time.Second
+	// Sweep is how often leases and windows that are over are looked for.
+	Sweep = time.Second
 	// clerk is how often reports are folded into accounts.
 	clerk = 250 * time.Millisecond
 )
@@ -106,7 +106,7 @@
 	d.Changed()
 	d.loop(o.Every, d.report)
 	d.loop(clerk, d.fold)
-	d.loop(sweep, d.sweep)
+	d.loop(Sweep, d.sweep)
 	if o.Sink != nil {
 		d.done.Add(1)
 		go d.export()
--- a/internal/store/api.go
+++ b/internal/store/api.go
@@ -204,7 +204,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), writeWait)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, "GET", "http://"+at+"/v1/kv/"+key, nil)
+	request, err := http.NewRequestWithContext(ctx, "GET", s.scheme+at+"/v1/kv/"+key, nil)
 	if err != nil {
 		return e, false, err
 	}
@@ -242,7 +242,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), writeWait+time.Second)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, "POST", "http://"+at+"/v1/edits", bytes.NewReader(body))
+	request, err := http.NewRequestWithContext(ctx, "POST", s.scheme+at+"/v1/edits", bytes.NewReader(body))
 	if err != nil {
 		return err
 	}
@@ -283,7 +283,7 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), writeWait+time.Second)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, r.Method, "http://"+at+r.URL.RequestURI(), bytes.NewReader(body))
+	request, err := http.NewRequestWithContext(ctx, r.Method, s.scheme+at+r.URL.RequestURI(), bytes.NewReader(body))
 	if err != nil {
 		return err
 	}
@@ -301,7 +301,7 @@
 
 // call makes a call to another replica's API.
 func (s *Store) call(ctx context.Context, method, at, path string, body []byte, into any) error {
-	request, err := http.NewRequestWithContext(ctx, method, "http://"+at+path, bytes.NewReader(body))
+	request, err := http.NewRequestWithContext(ctx, method, s.scheme+at+path, bytes.NewReader(body))
 	if err != nil {
 		return err
 	}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"encoding/binary"
 	"encoding/json"
 	"errors"
@@ -25,6 +26,7 @@
 	raftboltdb "github.com/hashicorp/raft-boltdb/v2"
 	"go.etcd.io/bbolt"
 
+	"fawnplank/internal/certs"
 	"fawnplank/internal/logs"
 	"fawnplank/internal/store/kv"
 )
@@ -59,6 +61,9 @@
 	Check func(key string, value json.RawMessage) error
 	// Changed, where set, is told of keys that changed, in order of the log, on every replica. It must not block.
 	Changed func(keys []string)
+	// TLS, where set, stands on both addresses and towards the other replicas' ones: each side shows a certificate of
+	// the authority that it names.
+	TLS *certs.Source
 	// Beat is Raft's heartbeat; elections take a few. 0: 200 ms, many times a loopback's or a rack's delay.
 	Beat time.Duration
 }
@@ -86,6 +91,7 @@
 	closed   chan struct{}
 	once     sync.Once
 	client   *http.Client
+	scheme   string // of the replicas' APIs
 }
 
 // Open starts a replica in its folder, and its API. A folder that was in use before is compared with the other
@@ -97,8 +103,12 @@
 	if err := os.MkdirAll(o.Dir, 0o700); err != nil {
 		return nil, fmt.Errorf("store: %w", err)
 	}
-	s := &Store{o: o, state: kv.New(), closed: make(chan struct{}),
-		client: &http.Client{Timeout: writeWait + time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 8}}}
+	s := &Store{o: o, state: kv.New(), closed: make(chan struct{})}
+	way := &http.Transport{MaxIdleConnsPerHost: 8}
+	if s.scheme = "http://"; o.TLS != nil {
+		s.scheme, way.TLSClientConfig = "https://", o.TLS.Client()
+	}
+	s.client = &http.Client{Timeout: writeWait + time.Second, Transport: way}
 	err := s.open()
 	if err != nil {
 		s.Close()
@@ -112,6 +122,9 @@
 	if s.listener, err = net.Listen("tcp", o.Me.API); err != nil {
 		return err
 	}
+	if o.TLS != nil {
+		s.listener = tls.NewListener(s.listener, o.TLS.Server())
+	}
 	// A second process in the same folder is refused rather than waited for.
 	path := filepath.Join(o.Dir, "raft.db")
 	if s.bolt, err = raftboltdb.New(raftboltdb.Options{Path: path, BoltOptions: &bbolt.Options{Timeout: time.Second}}); err != nil {
@@ -138,7 +151,13 @@
 	if err != nil {
 		return err
 	}
-	if s.net, err = raft.NewTCPTransportWithLogger(o.Me.Raft, advertised, 3, 2*time.Second, logger); err != nil {
+	if o.TLS != nil {
+		l, err := net.Listen("tcp", o.Me.Raft)
+		if err != nil {
+			return err
+		}
+		s.net = raft.NewNetworkTransportWithLogger(&stream{tls.NewListener(l, o.TLS.Server()), advertised, o.TLS}, 3, 2*time.Second, logger)
+	} else if s.net, err = raft.NewTCPTransportWithLogger(o.Me.Raft, advertised, 3, 2*time.Second, logger); err != nil {
 		return err
 	}
 	s.gate = newGatedTransport(s.net, target)
@@ -170,6 +189,21 @@
 	return nil
 }
 
+// stream is Raft's way between replicas, in TLS.
+type stream struct {
+	net.Listener
+	advertised net.Addr
+	source     *certs.Source
+}
+
+// Addr is where the others reach it.
+func (s *stream) Addr() net.Addr { return s.advertised }
+
+// Dial connects to another replica.
+func (s *stream) Dial(to raft.ServerAddress, within time.Duration) (net.Conn, error) {
+	return tls.DialWithDialer(&net.Dialer{Timeout: within}, "tcp", string(to), s.source.Client())
+}
+
 // lines passes Raft's own warnings on to the log.
 type lines struct{}
 
