--- a/cmd/fawnplank/billing.go
+++ b/cmd/fawnplank/billing.go
@@ -32,6 +32,8 @@
 	desk  *billd.Desk
 	terms atomic.Pointer[billing.Terms]
 	news  chan struct{}
+	on    bool
+	keys  []string // that changed, and the desk was not told of
 }
 
 func newAccounts() *accounts { return &accounts{news: make(chan struct{}, 1)} }
@@ -45,6 +47,9 @@
 		return errors.New("is on, and needs the replicated store (--store)")
 	}
 	a.retune(start, set)
+	a.mu.Lock()
+	a.on = true
+	a.mu.Unlock()
 	o := billd.Options{Replica: k.Store, Door: start.Name, Terms: func() billing.Terms { return *a.terms.Load() }, Every: time.Duration(set.Billing.Every)}
 	if set.Billing.Folder != "" {
 		o.Sink = billd.Folder(set.Billing.Folder)
@@ -57,7 +62,11 @@
 	a.mu.Unlock()
 	go func() {
 		for range a.news {
-			d.Changed()
+			a.mu.Lock()
+			keys := a.keys
+			a.keys = nil
+			a.mu.Unlock()
+			d.Changed(keys)
 		}
 	}()
 	count := func(n func(*billd.Counts) *atomic.Uint64) func() float64 {
@@ -89,8 +98,15 @@
 	a.terms.Store(&t)
 }
 
-// changed tells that the store has something new of them. It does not block.
-func (a *accounts) changed() {
+// changed tells which keys of theirs have changed in the store. It does not block.
+func (a *accounts) changed(keys []string) {
+	a.mu.Lock()
+	for _, k := range keys {
+		if a.on && strings.HasPrefix(k, billd.Keys) {
+			a.keys = append(a.keys, k)
+		}
+	}
+	a.mu.Unlock()
 	select {
 	case a.news <- struct{}{}:
 	default:
--- a/cmd/fawnplank/store.go
+++ b/cmd/fawnplank/store.go
@@ -16,7 +16,6 @@
 
 	"github.com/spf13/cobra"
 
-	"fawnplank/internal/billd"
 	"fawnplank/internal/certs"
 	"fawnplank/internal/config"
 	"fawnplank/internal/dnsd"
@@ -89,7 +88,7 @@
 
 // openStore starts the replica, where there is one. Something comes on edited when a plan or class has changed; zone is
 // called when a part of the zone has, and accounts when an account has.
-func openStore(f storeFlags, path, operator string, zone, accounts func()) (*kept, chan struct{}, error) {
+func openStore(f storeFlags, path, operator string, zone func(), accounts func(keys []string)) (*kept, chan struct{}, error) {
 	if f.dir == "" {
 		return nil, nil, nil
 	}
@@ -103,9 +102,7 @@
 		if slices.ContainsFunc(keys, func(k string) bool { return strings.HasPrefix(k, dnsd.Keys) }) {
 			zone()
 		}
-		if slices.ContainsFunc(keys, func(k string) bool { return strings.HasPrefix(k, billd.Keys) }) {
-			accounts()
-		}
+		accounts(keys)
 		for _, k := range keys {
 			if strings.HasPrefix(k, config.PlanKey) || strings.HasPrefix(k, config.ClassKey) {
 				select {
--- a/internal/billd/billd.go
+++ b/internal/billd/billd.go
@@ -103,7 +103,12 @@
 		o.Again = time.Second
 	}
 	d := &Desk{o: o, life: o.Now().UnixNano(), used: map[use]billing.Units{}, stop: make(chan struct{})}
-	d.Changed()
+	d.plans.Store(&map[string]billing.Account{})
+	var keys []string
+	for g := range o.Replica.Rows(accountKey) {
+		keys = append(keys, accountKey+g)
+	}
+	d.Changed(keys)
 	d.loop(o.Every, d.report)
 	d.loop(clerk, d.fold)
 	d.loop(Sweep, d.sweep)
@@ -199,12 +204,26 @@
 	d.mu.Unlock()
 }
 
-// Changed is to be called when accounts have changed in the store: changes of plans are taken over.
-func (d *Desk) Changed() {
-	plans := map[string]billing.Account{}
-	for g, text := range d.o.Replica.Rows(accountKey) {
+// Changed is to be called with keys that have changed in the store: changes of plans are taken over. Its cost is that of
+// the accounts named, not of all: each report that is folded changes some.
+func (d *Desk) Changed(keys []string) {
+	plans, copied := *d.plans.Load(), false
+	for _, key := range keys {
+		g, ok := strings.CutPrefix(key, accountKey)
+		if !ok {
+			continue
+		}
 		var a billing.Account
-		if json.Unmarshal(text, &a) == nil && len(a.Changes) > 0 {
+		if e, ok := d.o.Replica.Entry(key); ok && json.Unmarshal(e.Value, &a) != nil {
+			continue
+		}
+		if slices.Equal(a.Changes, plans[g].Changes) {
+			continue
+		}
+		if !copied {
+			plans, copied = maps.Clone(plans), true
+		}
+		if delete(plans, g); len(a.Changes) > 0 {
 			plans[g] = billing.Account{Changes: a.Changes}
 		}
 	}
