Accounts are kept by a door that holds a lease on it, not by the store's leader

Seen: TestUseIsBilledOnceThroughKills waited 20 s in vain for a first export in 2 of 14 runs, no error logged. The leader then was the replica that runs without a front door; folding and closing ran at the leader alone. A lease (3 s, written by compare-and-set, resigned at an orderly end) says which door does it. Marks of reports are by life; figures before the store's first leader no longer panic.

--- a/cmd/fawnplank/billing.go
+++ b/cmd/fawnplank/billing.go
@@ -247,7 +247,7 @@
 	return line[1:], nil
 }
 
-// Rows, Fresh and Leads make a replica's API one that accounts can be mended by.
+// Rows and Fresh make a replica's API one that accounts can be mended by.
 func (f far) Rows(prefix string) map[string]json.RawMessage {
 	text, err := callStore("GET", f.api, "/v1/kv?prefix="+prefix, nil)
 	var keys []string
@@ -274,6 +274,3 @@
 	}
 	return e, err == nil, err
 }
-
-// Leads is the replica's own concern.
-func (f far) Leads() bool { return false }
--- a/internal/billd/billd.go
+++ b/internal/billd/billd.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -26,7 +27,6 @@
 	Fresh(key string) (kv.Entry, bool, error)      // as the leader has it, with all that landed
 	Rows(prefix string) map[string]json.RawMessage // as this replica has them, by what follows the prefix
 	Edit(edits []kv.Edit) error                    // together or not at all; kv.Conflict where a key is not as asked
-	Leads() bool
 }
 
 // Keys of the store.
@@ -36,6 +36,7 @@
 	useKey     = Keys + "use/"
 	recordKey  = Keys + "record/"
 	exportKey  = Keys + "export"
+	clerkKey   = Keys + "clerk"
 )
 
 // Options are what the accounts are kept with.
@@ -45,6 +46,7 @@
 	Terms   func() billing.Terms // as the settings have them now
 	Every   time.Duration        // between two reports of this door's use
 	Again   time.Duration        // after an export that failed, doubled up to thirty times that; 0: a second
+	Term    time.Duration        // for which a clerk is one without renewing it; 0: three seconds
 	Sink    Sink                 // nil: this door exports nothing
 	Now     func() time.Time     // nil: the clock
 }
@@ -61,6 +63,8 @@
 	plans   atomic.Pointer[map[string]billing.Account]
 	stop    chan struct{}
 	done    sync.WaitGroup
+	clerks  sync.Mutex
+	until   int64 // this desk is the clerk, unix ns
 	once    sync.Once
 	counts  Counts
 	halted  atomic.Pointer[string] // why nothing is exported
@@ -101,6 +105,9 @@
 	if o.Now == nil {
 		o.Now = time.Now
 	}
+	if o.Term == 0 {
+		o.Term = 3 * time.Second
+	}
 	if o.Again == 0 {
 		o.Again = time.Second
 	}
@@ -155,6 +162,7 @@
 	d.once.Do(func() {
 		close(d.stop)
 		d.done.Wait()
+		d.resign()
 		for end := time.Now().Add(within); ; time.Sleep(100 * time.Millisecond) {
 			err := d.report()
 			if err == nil {
@@ -257,20 +265,45 @@
 		if err != nil {
 			return err
 		}
-		if err := d.land(fmt.Sprintf("%s%s-%016x-%08x", useKey, d.o.Door, d.life, d.number), text); err != nil {
+		if err := d.land(fmt.Sprintf("%s%s-%08x", useKey, d.own(), d.number), text); err != nil {
 			return err
 		}
 		d.pending = nil
-		d.number++
+		if d.number++; d.number == 1 {
+			if err := d.forget(); err != nil {
+				logs.For("billing").WithError(err).Debug("marks of long ago")
+			}
+		}
 		d.counts.Reports.Add(1)
 	}
 }
 
+// marks is the prefix of the keys that tell which report of a door's life landed last.
+const marks = Keys + "door/"
+
+// own is the part of keys that is this process's own: during an upgrade two of one name run.
+func (d *Desk) own() string { return fmt.Sprintf("%s-%016x", d.o.Door, d.life) }
+
+// forget deletes the marks of this door's lives of long ago, which report nothing any more.
+func (d *Desk) forget() error {
+	var edits []kv.Edit
+	for name := range d.o.Replica.Rows(marks) {
+		life, ok := strings.CutPrefix(name, d.o.Door+"-")
+		if began, err := strconv.ParseInt(life, 16, 64); ok && err == nil && began < d.life-int64(24*time.Hour) && len(edits) < mostItems {
+			edits = append(edits, kv.Edit{Key: marks + name})
+		}
+	}
+	if len(edits) == 0 {
+		return nil
+	}
+	return d.o.Replica.Edit(edits)
+}
+
 // land writes a report until it is known to have landed. It may have landed though its writing gave an error, and
 // may have been folded into accounts since: so what was written is tried again as it is, and a mark in the door's own
 // key tells.
 func (d *Desk) land(key string, text []byte) error {
-	mark := Keys + "door/" + d.o.Door
+	mark := marks + d.own()
 	number, err := json.Marshal(key)
 	if err != nil {
 		return err
@@ -431,9 +464,60 @@
 	return a, a.Room(t, now-now%t.Window, now, plan), nil
 }
 
-// fold adds reported use to accounts, at the leader: a report goes and its units come in one write.
+// clerkship is who folds reports and closes windows.
+type clerkship struct {
+	Who   string `json:"who"`
+	Until int64  `json:"until"` // unix ns
+}
+
+// isClerk says whether this desk is the clerk: the one that folds reports and looks for what is over, so that not every
+// door reads all accounts each second. Two at once would do no harm, since each write names what it read. It is not the
+// store's leader, which may be a replica without a front door: nothing was folded then, for as long as that one led.
+func (d *Desk) isClerk() bool {
+	d.clerks.Lock()
+	defer d.clerks.Unlock()
+	now := d.o.Now().UnixNano()
+	if now < d.until-int64(d.o.Term)/2 {
+		return true
+	}
+	e, ok := d.o.Replica.Entry(clerkKey)
+	var c clerkship
+	if ok && json.Unmarshal(e.Value, &c) == nil && c.Who != d.own() && now < c.Until+d.o.Terms().Skew {
+		return false
+	}
+	if err := d.appoint(clerkship{d.own(), now + int64(d.o.Term)}, e.Index); err != nil {
+		return now < d.until
+	}
+	d.until = now + int64(d.o.Term)
+	return true
+}
+
+func (d *Desk) appoint(c clerkship, index kv.Index) error {
+	text, err := json.Marshal(c)
+	if err != nil {
+		return err
+	}
+	return d.o.Replica.Edit([]kv.Edit{{Key: clerkKey, Value: text, Check: true, If: index}})
+}
+
+// resign lets another desk be the clerk at once.
+func (d *Desk) resign() {
+	d.clerks.Lock()
+	defer d.clerks.Unlock()
+	if d.until == 0 {
+		return
+	}
+	if e, ok := d.o.Replica.Entry(clerkKey); ok {
+		var c clerkship
+		if json.Unmarshal(e.Value, &c) == nil && c.Who == d.own() {
+			d.appoint(clerkship{c.Who, 0}, e.Index) // it runs out by itself otherwise
+		}
+	}
+}
+
+// fold adds reported use to accounts: a report goes and its units come in one write.
 func (d *Desk) fold() error {
-	if !d.o.Replica.Leads() {
+	if !d.isClerk() {
 		return nil
 	}
 	reports := d.o.Replica.Rows(useKey)
@@ -499,7 +583,7 @@
 
 // sweep returns reservations whose leases are over, and makes records of windows that are.
 func (d *Desk) sweep() error {
-	if !d.o.Replica.Leads() {
+	if !d.isClerk() {
 		return nil
 	}
 	t := d.o.Terms()
--- a/internal/billd/billd_test.go
+++ b/internal/billd/billd_test.go
@@ -62,8 +62,6 @@
 	return all
 }
 
-func (m *memory) Leads() bool { return true }
-
 func (m *memory) Edit(edits []kv.Edit) error {
 	if m.fails() {
 		return errors.New("no leader")
@@ -156,7 +154,7 @@
 }
 
 func desk(m *memory, door string, sink Sink) *Desk {
-	return Start(Options{Replica: m, Door: door, Terms: terms, Every: 20 * time.Millisecond, Again: 10 * time.Millisecond, Sink: sink})
+	return Start(Options{Replica: m, Door: door, Terms: terms, Every: 20 * time.Millisecond, Again: 10 * time.Millisecond, Term: 300 * time.Millisecond, Sink: sink})
 }
 
 func wait(t *testing.T, what string, is func() bool) {
@@ -274,6 +272,10 @@
 	if _, err := d.Reserve("g", "r", "gone", "small", 10e6, 300*time.Millisecond); err != nil {
 		t.Fatal(err)
 	}
+	old := marks + "d-0000000000000001" // of a life of long ago: goes with the first report
+	m.Edit([]kv.Edit{{Key: old, Value: []byte(`"x"`)}})
+	d.Used("g", "small", time.Now(), 1)
+	wait(t, "the old mark to go", func() bool { _, there := m.Entry(old); return !there && len(m.Rows(marks)) == 1 })
 	d.Close()
 	other := desk(m, "e", nil)
 	defer other.Close()
--- a/internal/dnsd/dnsd_test.go
+++ b/internal/dnsd/dnsd_test.go
@@ -662,6 +662,13 @@
 		x.mu.Unlock()
 		rigs = append(rigs, r)
 	}
+	if none := must(t, func() Options {
+		o := folder(t, text(7, 2))
+		o.Shared = &Shared{&replica{of: &replicas{cut: true}, kv: kv.New()}}
+		return o
+	}()); none.Serial() != 0 || none.ear.size() != 0 { // its figures are asked for before there is a leader
+		t.Error("a list without the store: ", none.ear.list)
+	}
 	for _, r := range rigs {
 		wait(t, "the first list", func() bool { return r.Address() != "" && r.ear.size() == 2 })
 	}
--- a/internal/dnsd/server.go
+++ b/internal/dnsd/server.go
@@ -352,11 +352,12 @@
 	s.o.Tell(s.zone.Backends(), nil, true)
 }
 
-// Serial is that in force.
+// Serial is that in force; 0: the store has not taken the zone yet. It does not wait for an update under way.
 func (s *Server) Serial() uint32 {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.zone.Serial()
+	if z := s.asked.Load(); z != nil {
+		return z.Serial()
+	}
+	return 0
 }
 
 // Address is where it listens: empty while it does not.
--- a/internal/store/api.go
+++ b/internal/store/api.go
@@ -189,9 +189,6 @@
 	return err
 }
 
-// Leads says whether this replica takes itself for the leader.
-func (s *Store) Leads() bool { return s.raft.State() == raft.Leader }
-
 // Fresh is a key with all that has landed, read by way of the leader.
 func (s *Store) Fresh(key string) (e kv.Entry, ok bool, err error) {
 	if e, ok, err = s.get(key, true); !errors.Is(err, errElsewhere) {
