Windows that end together are closed in a few writes; test of two thousand gestorías

A clerk that is no leader closed one account a second, as it folded one report a round: each write made its replica's copy of the export's state old. A write now takes what fits, and the next one waits until this replica has heard of it.

--- a/internal/billd/billd.go
+++ b/internal/billd/billd.go
@@ -93,6 +93,8 @@
 	// mostItems bounds a report, whose accounts are written at once: a command of the store takes a thousand edits.
 	mostItems = 400
 	mostEdits = 900
+	// mostTries bounds a round of what is over: the next one goes on.
+	mostTries = 100
 	// mostBatch bounds what is sent at once.
 	mostBatch = 200
 	// Sweep is how often leases and windows that are over are looked for.
@@ -597,69 +599,78 @@
 
 func recordAt(n uint64) string { return fmt.Sprintf("%s%016x", recordKey, n) }
 
-// sweep returns reservations whose leases are over, and makes records of windows that are.
+// sweep returns reservations whose leases are over, and makes records of windows that are: as many accounts in a write
+// as it takes, since windows of all gestorías end together.
 func (d *Desk) sweep() error {
 	if !d.isClerk() {
 		return nil
 	}
-	t := d.o.Terms()
-	for _, g := range slices.Sorted(maps.Keys(d.o.Replica.Rows(accountKey))) {
-		now := d.o.Now().UnixNano()
-		local, ok := d.o.Replica.Entry(accountKey + g)
-		var a billing.Account
-		if !ok || json.Unmarshal(local.Value, &a) != nil {
-			continue
+	names := slices.Sorted(maps.Keys(d.o.Replica.Rows(accountKey)))
+	for tries := 0; len(names) > 0 && tries < mostTries; tries++ {
+		s, at, err := d.state()
+		if err != nil {
+			return err
 		}
-		b := a.Lapse(t, now)
-		b, records := b.Close(t, now, 1)
-		was, _ := json.Marshal(a)
-		is, _ := json.Marshal(b)
-		if string(was) == string(is) && len(records) == 0 {
+		if e, _ := d.o.Replica.Entry(exportKey); e.Index < at { // this replica has yet to hear of the last write
+			select {
+			case <-d.stop:
+				return nil
+			case <-time.After(5 * time.Millisecond):
+			}
 			continue
 		}
-		if err := d.settle(g); err != nil {
+		var edits []kv.Edit
+		if edits, names, err = d.settle(names, &s); err != nil || len(edits) == 0 {
 			return err
 		}
-	}
-	return nil
-}
-
-// settle writes one account's lapsed leases and closed windows, with their records, in one write.
-func (d *Desk) settle(g string) error {
-	a, index, err := d.account(g, false)
-	if err != nil {
-		return err
-	}
-	s, at, err := d.state()
-	if err != nil {
-		return err
-	}
-	t, now := d.o.Terms(), d.o.Now().UnixNano()
-	b, records := a.Lapse(t, now).Close(t, now, s.Next)
-	e, err := edit(b, index)
-	if err != nil {
-		return err
-	}
-	edits := []kv.Edit{e}
-	for _, r := range records {
-		text, err := json.Marshal(r)
+		text, err := json.Marshal(s)
 		if err != nil {
 			return err
 		}
-		edits = append(edits, kv.Edit{Key: recordAt(r.Sequence), Value: text, Check: true})
-	}
-	if len(records) > 0 {
-		s.Next += uint64(len(records))
-		text, err := json.Marshal(s)
+		err = d.o.Replica.Edit(append(edits, kv.Edit{Key: exportKey, Value: text, Check: true, If: at}))
+		var conflict kv.Conflict
+		if errors.As(err, &conflict) {
+			return nil // in the next round
+		}
 		if err != nil {
 			return err
 		}
-		edits = append(edits, kv.Edit{Key: exportKey, Value: text, Check: true, If: at})
 	}
-	err = d.o.Replica.Edit(edits)
-	var conflict kv.Conflict
-	if errors.As(err, &conflict) {
-		return nil // in the next round
+	return nil
+}
+
+// settle gives the edits of the first accounts named whose time has come, with their records numbered on, and the names
+// that are left.
+func (d *Desk) settle(names []string, s *state) (edits []kv.Edit, left []string, err error) {
+	t := d.o.Terms()
+	for n, g := range names {
+		a, index, err := d.account(g, false)
+		if err != nil || index == 0 {
+			continue // it is gone, or cannot be read, which a step on it tells
+		}
+		now := d.o.Now().UnixNano()
+		b, records := a.Lapse(t, now).Close(t, now, s.Next)
+		was, _ := json.Marshal(a)
+		is, _ := json.Marshal(b)
+		if string(was) == string(is) {
+			continue
+		}
+		if len(edits)+len(records)+1 > mostEdits && len(edits) > 0 {
+			return edits, names[n:], nil
+		}
+		e, err := edit(b, index)
+		if err != nil {
+			return nil, nil, err
+		}
+		edits = append(edits, e)
+		for _, r := range records {
+			text, err := json.Marshal(r)
+			if err != nil {
+				return nil, nil, err
+			}
+			edits = append(edits, kv.Edit{Key: recordAt(r.Sequence), Value: text, Check: true})
+		}
+		s.Next += uint64(len(records))
 	}
-	return err
+	return edits, nil, nil
 }
--- a/internal/billd/billd_test.go
+++ b/internal/billd/billd_test.go
@@ -334,6 +334,25 @@
 	}
 }
 
+// Windows of all gestorías end together: thousands of records are numbered in a few writes and exported in order.
+func TestManyWindowsEndTogether(t *testing.T) {
+	m := newMemory()
+	r, url := newReceiver(t)
+	d := desk(m, "d", NewReceiver(url))
+	defer d.Close()
+	began := m.at
+	for n := range 2000 {
+		d.Used(fmt.Sprintf("g%04d", n), "small", time.Now(), 1)
+	}
+	wait(t, "all to be exported", func() bool { sum, _ := r.total(); return sum == 2000e6 })
+	m.mu.Lock()
+	writes := m.at - began
+	m.mu.Unlock()
+	if _, bad := r.total(); bad != nil || r.last != 2000 || writes > 200 {
+		t.Errorf("%v; %d records, %d writes", bad, r.last, writes)
+	}
+}
+
 func TestFolderTakesABatchOnce(t *testing.T) {
 	f := Folder(t.TempDir())
 	batch := []billing.Record{{Sequence: 3, Gestoria: "g", Plan: "p", Window: 60, Micro: 5}, {Sequence: 4, Gestoria: "h", Plan: "p", Window: 60, Micro: 6}}
