--- a/internal/store/api.go
+++ b/internal/store/api.go
@@ -201,12 +201,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), writeWait)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, "GET", s.scheme+at+"/v1/kv/"+key, nil)
-	if err != nil {
-		return e, false, err
-	}
-	request.Header.Set(passedOn, s.o.Me.ID)
-	answer, err := s.client.Do(request)
+	answer, err := s.leader(ctx, "GET", at, "/v1/kv/"+key, nil)
 	if err != nil {
 		return e, false, err
 	}
@@ -221,6 +216,16 @@
 	return e, false, errors.New(answer.Status)
 }
 
+// leader makes a request of the leader's API, which must not pass it on again. The answer's body is the caller's to close.
+func (s *Store) leader(ctx context.Context, method, at, path string, body []byte) (*http.Response, error) {
+	request, err := http.NewRequestWithContext(ctx, method, s.scheme+at+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	request.Header.Set(passedOn, s.o.Me.ID)
+	return s.client.Do(request)
+}
+
 // Edit lands edits, together or not at all, at the leader if that is another. A key that is not as asked for is
 // kv.Conflict; after any other error they may land yet.
 func (s *Store) Edit(edits []kv.Edit) error {
@@ -239,12 +244,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), writeWait+time.Second)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, "POST", s.scheme+at+"/v1/edits", bytes.NewReader(body))
-	if err != nil {
-		return err
-	}
-	request.Header.Set(passedOn, s.o.Me.ID)
-	answer, err := s.client.Do(request)
+	answer, err := s.leader(ctx, "POST", at, "/v1/edits", body)
 	if err != nil {
 		return err
 	}
@@ -280,12 +280,7 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), writeWait+time.Second)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, r.Method, s.scheme+at+r.URL.RequestURI(), bytes.NewReader(body))
-	if err != nil {
-		return err
-	}
-	request.Header.Set(passedOn, s.o.Me.ID)
-	answer, err := s.client.Do(request)
+	answer, err := s.leader(ctx, r.Method, at, r.URL.RequestURI(), body)
 	if err != nil {
 		return err
 	}
