--- a/cmd/fawnplank/billing_test.go
+++ b/cmd/fawnplank/billing_test.go
@@ -14,8 +14,6 @@
 	"sync"
 	"testing"
 	"time"
-
-	"github.com/tidwall/redcon"
 )
 
 // books are a stand-in for billing's receiver: each batch counts once, and some answers are errors though it counted.
@@ -68,27 +66,7 @@
 // reservation spent, a receiver that answers errors after having counted. What it has in the end is what clients saw
 // fulfilled, but for what a killed door had not reported.
 func TestUseIsBilledOnceThroughKills(t *testing.T) {
-	backend, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer backend.Close()
-	go func() {
-		for {
-			c, err := backend.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				for r := redcon.NewReader(c); ; {
-					if _, err := r.ReadCommand(); err != nil {
-						return
-					}
-					c.Write([]byte("*3\r\n$2\r\nok\r\n$-1\r\n$-1\r\n"))
-				}
-			}()
-		}
-	}()
+	backend := standIn(t, func(c net.Conn) { c.Write([]byte("*3\r\n$2\r\nok\r\n$-1\r\n$-1\r\n")) })
 	receiver := &books{keys: map[string]bool{}, plans: map[string]int64{}}
 	server := httptest.NewServer(receiver)
 	defer server.Close()
@@ -100,7 +78,7 @@
 	for n, r := range all[:2] {
 		fronts, limits = append(fronts, freeAddress(t)), append(limits, freeAddress(t))
 		config, operator := filepath.Join(folder, r.id+".json"), filepath.Join(folder, r.id+".toml")
-		text := strings.Replace(fmt.Sprintf(configuration, fronts[n], freeAddress(t), backend.Addr()), `"name":"n0"`, fmt.Sprintf(`"name":"n%d"`, n), 1)
+		text := strings.Replace(fmt.Sprintf(configuration, fronts[n], freeAddress(t), backend), `"name":"n0"`, fmt.Sprintf(`"name":"n%d"`, n), 1)
 		os.WriteFile(config, []byte(strings.Replace(text, `"tariffs":[`, `"tariffs":[{"name":"large","quota-rate":1000,"peak-units":500},`, 1)), 0o600)
 		os.WriteFile(operator, []byte(fmt.Sprintf("[limits]\nlisten = %q\n[[limits.key]]\nname = \"ops\"\nsecret_file = %q\nrights = [\"read\", \"reserve\", \"change\"]\n"+
 			"[billing]\non = true\nwindow = \"1s\"\nlate = \"200ms\"\nlead = \"2s\"\nclock_skew = \"50ms\"\nreport_every = \"50ms\"\nexport_url = %q\n", limits[n], secret, server.URL)), 0o600)
--- a/cmd/fawnplank/main_test.go
+++ b/cmd/fawnplank/main_test.go
@@ -46,6 +46,33 @@
 	"lanes":[{"name":"lookup","goal-time-ms":750,"deadline-ms":1500,"effect":"read_like"}],
 	"tariffs":[{"name":"team","quota-rate":0,"peak-units":0}]}}`
 
+// standIn is a backend that does something with the connection of each whole command; it gives its address.
+func standIn(t *testing.T, do func(c net.Conn)) net.Addr {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				for r := redcon.NewReader(c); ; {
+					if _, err := r.ReadCommand(); err != nil {
+						return
+					}
+					do(c)
+				}
+			}()
+		}
+	}()
+	return l.Addr()
+}
+
 func TestCommandLine(t *testing.T) {
 	file := filepath.Join(t.TempDir(), "config.json")
 	text := fmt.Sprintf(configuration, "127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3")
@@ -76,27 +103,7 @@
 // After SIGTERM the program goes on serving while clients may still come, answers what it took, and exits.
 func TestServeUntilTerminated(t *testing.T) {
 	shots := make(chan net.Conn, 10)
-	backend, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer backend.Close()
-	go func() {
-		for {
-			c, err := backend.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				for r := redcon.NewReader(c); ; {
-					if _, err := r.ReadCommand(); err != nil {
-						return
-					}
-					shots <- c
-				}
-			}()
-		}
-	}()
+	backend := standIn(t, func(c net.Conn) { shots <- c })
 	silent := func(w http.ResponseWriter, r *http.Request) { <-r.Context().Done() }
 	discovery := httptest.NewServer(http.HandlerFunc(silent))
 	defer discovery.CloseClientConnections()
@@ -108,7 +115,7 @@
 	free.Close()
 	file := filepath.Join(t.TempDir(), "config.json")
 	os.WriteFile(file, []byte(fmt.Sprintf(configuration, address, strings.TrimPrefix(discovery.URL, "http://"),
-		backend.Addr())), 0o600)
+		backend)), 0o600)
 	c := program("serve", "-c", file)
 	log, _ := c.StderrPipe()
 	if err := c.Start(); err != nil {
@@ -270,36 +277,18 @@
 // A file of the old shape is brought over to the new one, and a front door runs on it: without probes, with a cap
 // on shots out, and with dismissals that do not say when to come back.
 func TestMigratedFileServes(t *testing.T) {
-	backend, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer backend.Close()
 	shots, more := make(chan net.Conn, 10), make(chan bool, 10)
-	go func() {
-		for {
-			c, err := backend.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				for r := redcon.NewReader(c); ; {
-					if _, err := r.ReadCommand(); err != nil {
-						return
-					}
-					shots <- c
-					more <- true
-				}
-			}()
-		}
-	}()
+	backend := standIn(t, func(c net.Conn) {
+		shots <- c
+		more <- true
+	})
 	lists := 0
 	discovery := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if lists++; lists > 1 {
 			<-r.Context().Done()
 		}
 		fmt.Fprintf(w, `{"index":9,"snapshot":true,"endpoints":[{"name":"s-9","address":%q,"zone":"a","type":"m2",
-			"group":1,"status":"up","weight":0.7,"since_ms":0}]}`, backend.Addr())
+			"group":1,"status":"up","weight":0.7,"since_ms":0}]}`, backend)
 	}))
 	defer discovery.CloseClientConnections()
 	free, err := net.Listen("tcp", "127.0.0.1:0")
