Pushed lists are heard within the drain's grace, also right after an outage of discovery

At fault: discovery's constants (a watch of 2 s, patience 1 s, a whole list 3 s) and the pause of 0.2 s in Gate.Backends, none of which knew the settings' stop-sending-within-ms, which was not read at all.

Change: Terms.Asking says how long a watch waits, how late it may be, how long a whole list may take and the pause: a third, a quarter, a half and a tenth of the grace where lists are pushed; as before where they are asked for. The settings' grace is read and checked.

--- a/cmd/fawnplank/main.go
+++ b/cmd/fawnplank/main.go
@@ -273,7 +273,7 @@
 	}
 	fresh.Follow(start)
 	count.Move(fresh.Counter)
-	list.Move(fresh.Discovery)
+	list.Move(fresh.Discovery, fresh.Terms)
 	logs.For("config").WithFields(logrus.Fields{"discovery": fresh.Discovery, "counter": fresh.Counter,
 		"classes": len(fresh.Profiles)}).Info("reloaded")
 	kept := *start // what takes effect at a restart only
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -15,7 +15,8 @@
 	"settings":{"me": 1, "replicas-of-me": 3, "zones": ["a"], "shapes": ["m2"], "discovery": "on_request",
 	"family-info": {"may-count": true, "counter-timeout-ms": 80, "post-paid": true},
 	"permissions": {"send-cap": 3, "cancelling": true, "conn-idle-ms": 9000, "connect-timeout-ms": 100},
-	"invariants": {"cold-share": 0.2, "warm-up-ms": 9000, "tip-multiple": 2, "fall-ms": 1000, "ask-within-ms": 5},
+	"invariants": {"cold-share": 0.2, "warm-up-ms": 9000, "tip-multiple": 2, "fall-ms": 1000, "ask-within-ms": 5,
+	"stop-sending-within-ms": 250},
 	"lanes": [{"name": "lookup", "goal-time-ms": 750, "deadline-ms": 2000, "effect": "idempotency_key",
 		"group": "cell", "window-ms": 5000}],
 	"tariffs": [{"name": "team", "quota-rate": 2, "peak-units": 5, "parallel": 4, "cap-rate": 9}]}}`
@@ -30,7 +31,7 @@
 	p, plan := s.Terms.Profiles[s.Profiles["lookup"]], s.Terms.Plans[s.Plans["team"]]
 	if s.Seed != 0x8c1f30d27a5be964 || s.MemoryBytes != 192<<20 || s.Sockets != 1024 || s.IdleConnection != 9e9 ||
 		s.ConnectTimeout != 1e8 || s.Terms.Me != 1 || s.Terms.Doors != 3 || !s.Terms.PostPaid ||
-		!s.Terms.ListOnRequest || p.Effect != policy.Numbered || p.Reach != policy.ReachGroup ||
+		!s.Terms.ListOnRequest || s.Terms.DrainGrace != 25e7 || p.Effect != policy.Numbered || p.Reach != policy.ReachGroup ||
 		p.HardLimit != 2e9 || plan.Parallel != 4 || plan.CeilingRate != 9 || s.Zones[0] != "a" {
 		t.Errorf("%+v", s)
 	}
@@ -54,6 +55,7 @@
 		"settings.lanes[0].name is miss": {`"name": "lookup",`, ``},
 		"settings.tariffs[0].quota-rate": {`"quota-rate": 2`, `"quota-rate": "x"`},
 		"settings.zones[0] is no text":   {`["a"]`, `[4]`},
+		"within-ms is not above 0":       {`within-ms": 250`, `within-ms": 0`},
 		"settings.permissions.conn-idle": {`"conn-idle-ms": 9000`, `"conn-idle-ms": -1`},
 	} {
 		text := strings.Replace(good, change[0], change[1], 1)
--- a/internal/config/terms.go
+++ b/internal/config/terms.go
@@ -94,11 +94,16 @@
 		LongestAdvice: Nanoseconds(allowed.num("max-retry-after-ms")),
 		Counter:       family.yes("may-count"), CounterTimeout: Nanoseconds(family.num("counter-timeout-ms")),
 		PostPaid: family.yes("post-paid"), ListOnRequest: top.text("discovery") == "on_request",
-		AskWithin: Nanoseconds(rules.num("ask-within-ms")),
+		AskWithin: Nanoseconds(rules.num("ask-within-ms")), DrainGrace: 1e9, // where none is named
 		ColdShare: rules.need("cold-share"), WarmUp: Nanoseconds(rules.need("warm-up-ms")),
 		FallMultiple: rules.need("tip-multiple"), FallSpan: Nanoseconds(rules.need("fall-ms")),
 		CrossZonePrice: top.in("prices", false).num("cross-zone"),
 	}
+	if _, there := rules.m["stop-sending-within-ms"]; there {
+		if terms.DrainGrace = Nanoseconds(rules.num("stop-sending-within-ms")); terms.DrainGrace <= 0 {
+			rules.fault("stop-sending-within-ms", "is not above 0")
+		}
+	}
 	if terms.MostShots < 1 {
 		allowed.fault("send-cap", "is not above 0")
 	}
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -24,19 +24,8 @@
 	"fawnplank/policy"
 )
 
-const (
-	// watch is how long a watch waits for news. One whose answer was lost on the way looks like one without
-	// news until it ends: so long, and patience, the list may be old without anybody knowing. A call costs little
-	// where changes come unasked; where each asking is work for discovery, a watch waits the time that the settings
-	// say for askings, or the calls of many doors alone would be more than it can answer.
-	watch = 2 * time.Second
-	// patience is how long an answer may be late before the call is made anew: what discovery has to tell counts as
-	// told two seconds after a wait ends. The whole list has the time of a watch: given up earlier, it
-	// keeps its place in a crowded discovery's line, and the next call waits behind it.
-	patience = time.Second
-	// mostBytes bounds a list: some ten thousand lines.
-	mostBytes = 4 << 20
-)
+// mostBytes bounds a list: some ten thousand lines.
+const mostBytes = 4 << 20
 
 // Told is told the list.
 type Told interface {
@@ -64,13 +53,15 @@
 	begin     sync.Once
 	wanted    chan struct{}
 	index     int64
-	wait      time.Duration // of a watch, at discovery
 	mu        sync.Mutex
 	base      string
-	moves     int                // how often the address changed
-	turn      sync.Mutex         // one list is told at a time, where another source tells them
-	other     func()             // has the other source tell its whole list; nil: the watch is the source
-	give      context.CancelFunc // gives the call that is out up
+	// How long a watch waits at discovery, how late its answer may be, and how long a whole list may take: as the
+	// decisions say.
+	wait, late, whole time.Duration
+	moves             int                // how often the address changed
+	turn              sync.Mutex         // one list is told at a time, where another source tells them
+	other             func()             // has the other source tell its whole list; nil: the watch is the source
+	give              context.CancelFunc // gives the call that is out up
 }
 
 // words numbers names: those of the settings first, others as they come.
@@ -100,21 +91,24 @@
 // New makes a client.
 func New(told Told, addresses Addresses, s *config.Start) *Client {
 	c := &Client{told: told, addresses: addresses, base: baseOf(s.Discovery),
-		wanted: make(chan struct{}, 1), wait: watch,
+		wanted: make(chan struct{}, 1),
 		http: http.Client{Transport: &http.Transport{IdleConnTimeout: time.Minute, DisableCompression: true,
 			DialContext: ipv4.DialContext}},
 		zones: words[policy.ZoneID]{},
 		ids:   map[string]policy.BackendID{}, names: map[policy.BackendID]string{},
 		listed: map[policy.BackendID]bool{}, draining: map[policy.BackendID]bool{}}
-	if s.Terms.ListOnRequest {
-		c.wait = max(watch, time.Duration(s.Terms.AskWithin))
-	}
+	c.retune(s.Terms)
 	for _, z := range s.Zones {
 		c.zones.id(z)
 	}
 	return c
 }
 
+func (c *Client) retune(terms policy.Terms) {
+	wait, late, whole, _ := terms.Asking()
+	c.wait, c.late, c.whole = time.Duration(wait), time.Duration(late), time.Duration(whole)
+}
+
 // Entry is a backend as a list has it.
 type Entry struct {
 	Name    string           `json:"name"`
@@ -262,10 +256,11 @@
 	return id
 }
 
-// Move goes on to another address: there a new watch starts with the whole list.
-func (c *Client) Move(address string) {
+// Move goes on to another address, where a new watch starts with the whole list, and to other terms.
+func (c *Client) Move(address string, terms policy.Terms) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.retune(terms)
 	if base := baseOf(address); base != c.base {
 		c.base = base
 		c.moves++
@@ -334,12 +329,12 @@
 		}
 	}()
 	c.mu.Lock()
-	url, within := c.base, watch
+	url, within := c.base, c.whole
 	if *whole = *whole || *moves != c.moves; !*whole {
-		url, within = fmt.Sprintf("%s?index=%d&wait=%d", c.base, c.index, c.wait.Milliseconds()), c.wait
+		url, within = fmt.Sprintf("%s?index=%d&wait=%d", c.base, c.index, c.wait.Milliseconds()), c.wait+c.late
 	}
 	*moves = c.moves
-	ctx, cancel := context.WithTimeout(context.Background(), within+patience)
+	ctx, cancel := context.WithTimeout(context.Background(), within)
 	c.give = cancel
 	c.mu.Unlock()
 	defer cancel()
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -64,7 +64,8 @@
 	}))
 	t.Cleanup(s.CloseClientConnections)
 	e := &ear{told: make(chan told, 100), known: map[policy.BackendID]string{}}
-	start := &config.Start{Discovery: strings.TrimPrefix(s.URL, "http://"), Zones: []string{"b", "a"}}
+	start := &config.Start{Discovery: strings.TrimPrefix(s.URL, "http://"), Zones: []string{"b", "a"},
+		Terms: policy.Terms{DrainGrace: 6e9}}
 	return New(e, e, start), e, calls
 }
 
@@ -202,7 +203,7 @@
 	e.next(t)
 	<-calls
 	<-calls // waits for news
-	c.Move(strings.TrimPrefix(there.URL, "http://"))
+	c.Move(strings.TrimPrefix(there.URL, "http://"), policy.Terms{DrainGrace: 6e9})
 	if got := e.next(t); got.how != policy.Whole || len(got.list) != 1 || len(got.known) != 1 {
 		t.Errorf("%+v", got)
 	}
--- a/policy/api.go
+++ b/policy/api.go
@@ -129,6 +129,7 @@
 	PostPaid       bool
 	ListOnRequest  bool
 	AskWithin      int64
+	DrainGrace     int64 // after a drain was told, until when sends to the backend may still begin
 	ColdShare      float64
 	WarmUp         int64
 	FallMultiple   float64
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -1,5 +1,5 @@
 // Package policy holds every decision of one front door. Its interface (ids, outcomes, terms, and the Door
-// that the decisions act through) is in api.go, and how to call it; what they remember is laid out in state.go.
+// that the decisions act through) is in api.go, and how to call it; what they remember is in state.go.
 package policy
 
 import (
@@ -16,10 +16,9 @@
 // New starts the decisions of a front door.
 func New(now int64, seed uint64, terms Terms, door Door) *Gate {
 	g := &Gate{door: door, terms: terms, chance: pcg.New(seed), born: now, backends: map[BackendID]*backend{},
-		calls: map[CountID][]*call{}, customers: map[CustomerID]*customer{},
-		askAgain: 200 * ms, part: 1}
+		calls: map[CountID][]*call{}, customers: map[CustomerID]*customer{}, part: 1}
 	g.Retune(terms)
-	if terms.ListOnRequest { // many doors that start together ask one after another, as long as an asking may take
+	if terms.ListOnRequest { // many doors that start together ask one after another, within what asking may take
 		apart := min(int64(terms.Doors-1)*50*ms, terms.AskWithin/2)
 		g.at(now+int64(g.chance.Float64()*float64(apart)), nil, func(int64) { door.Follow() })
 	}
@@ -30,6 +29,7 @@
 // Retune takes new terms. Rows of profiles and plans are only added: open transactions keep theirs.
 func (g *Gate) Retune(terms Terms) {
 	g.terms = terms
+	_, _, _, g.askAgain = terms.Asking()
 	for _, p := range terms.Profiles[len(g.profiles):] {
 		// The post's 45 of 300 ms is dear where calls wait in line. Four fifths: below the counter's own limit.
 		wait := max(min(p.Promised/20, terms.CounterTimeout*4/5), ms)
@@ -153,8 +153,8 @@
 	return c
 }
 
-// forget drops a customer's entry once it has passed two windows and a minute (as long as the counter keeps a
-// number) unused, nothing of it is out, and its ceiling's store would be full anyway.
+// forget drops a customer's entry, unused for two windows and the minute that the counter keeps numbers for,
+// once nothing of it is out and its ceiling's store would be full anyway.
 func (g *Gate) forget(now int64, c *customer) {
 	rest := max(2*c.plan.window, 60*sec) // ten seconds: seldom enough for plans of tiny windows
 	if c.plan.CeilingRate > 0 {
@@ -169,9 +169,8 @@
 	})
 }
 
-// fillCeiling reckons this door's part of the customer's ceiling. The part starts empty and fills from the
-// door's start on: a door that was restarted cannot tell what its earlier life sent on. Guards rule 5 through
-// restarts and counter failures alike; it costs a customer of few doors the burst after a start.
+// fillCeiling reckons this door's part of the customer's ceiling. It fills from empty at the door's start,
+// which can't tell what its earlier life sent on: rule 5 holds through restarts and counter failures alike.
 func (t *Transaction) fillCeiling(now int64) float64 {
 	c, part := t.customer, t.plan.CeilingRate/t.entries
 	c.ceiling += float64(now-c.filled) / float64(sec) * part
@@ -179,9 +178,8 @@
 	return c.ceiling
 }
 
-// turn goes on to the window of now. Windows start at a time of the customer's own, so that clients who were
-// told to come back do not all come at once. What the last window used beyond its refill is carried over:
-// else a turn would grant a fresh burst.
+// turn goes on to the window of now. Windows start at a time of the customer's own: clients told to come back
+// come apart. What the last one used beyond its refill is carried over: a turn grants no fresh burst.
 func (c *customer) turn(now int64, open bool, entries float64) {
 	w := c.plan.window
 	if w == 0 || c.name != 0 && now < c.start+w {
@@ -193,7 +191,7 @@
 	c.known = max(c.known+c.owed-c.plan.Rate*float64(start-c.start)/float64(sec), 0)
 	if !c.close {
 		c.known = 0
-	} else if open && c.heard == 0 { // nothing was told: what this door's share holds stands for its part of the store
+	} else if open && c.heard == 0 { // nothing was told: what the door's share holds stands for its part
 		c.known = max(c.spent/c.part(entries)-c.plan.Rate*float64(start-c.at)/float64(sec), 0)
 	}
 	c.owed = 0 // what a long silence left owing has been refilled since, but for what is carried
@@ -202,9 +200,8 @@
 	c.start, c.name, c.told = start, CountID(mix(own+uint64(shifted/w)+uint64(c.plan.mark))), 0
 }
 
-// refilled is what the rate has given since the window's start. Where a customer's doors are more than twice
-// the transactions of a window (few of them carry most), or take over half of it to right a count in turn,
-// none knows in time what is to be carried, and the plain count of the design holds: all tries, afresh.
+// refilled is what the rate has given since the window's start. Where few of a customer's doors see much of
+// one none knows in time what is to be carried, and the plain count of the design holds: all tries, afresh.
 func (c *customer) refilled(now, start int64) float64 {
 	if !c.close {
 		return 0
@@ -266,9 +263,8 @@
 	return true
 }
 
-// called keeps the breaker, and the part of the transactions that call. Exception: a slow or crowded counter
-// answers some calls and seldom trips the breaker: each failure takes a fifth off the part, each answer gives
-// a fiftieth back. Hurts by going by the shares a little longer than must be.
+// called keeps the breaker, and the part of the transactions that call. Exception: a crowded counter seldom
+// trips the breaker: each failure takes a fifth off the part, each answer gives a fiftieth back.
 func (g *Gate) called(now int64, ok bool) {
 	switch {
 	case ok && g.fails >= breakAt:
@@ -382,28 +378,26 @@
 
 // share decides without the counter: by the profile's preset, or by the door's share of the quota.
 func (t *Transaction) share(now int64) bool {
-	c := t.customer
+	g, c := t.gate, t.customer
 	if preset := t.profile.Silence; t.capped() || preset != KeepShare {
 		return preset == LetAll && !t.capped()
 	}
-	share := t.allowance(now)
-	if c.spent+t.units > share+slop {
+	if share := t.allowance(now); c.spent+t.units > share+slop {
 		return false
 	}
 	// Where backends are pressed, what was counted goes first: what is not may be beyond the quota, and costs
 	// its utility even where nobody answers it. Six tenths: at a half big days lose, above a jam comes. Behind
 	// an open breaker nothing is counted: there is nobody to go first.
-	if t.gate.terms.Counter && t.gate.fails < breakAt && !t.profile.CountsOnly && t.gate.pick(now, t, 0.6) == nil {
+	if g.terms.Counter && g.fails < breakAt && !t.profile.CountsOnly && g.pick(now, t, 0.6) == nil {
 		return false
 	}
 	chance := t.chance()
-	return chance >= 1 || t.gate.chance.Float64() < chance
+	return chance >= 1 || g.chance.Float64() < chance
 }
 
-// chance is how likely the door's share lets a transaction in that it has room for. The floor of one
-// transaction a door adds up past small quotas: where the share is a fraction of one, it is given as often as
-// the counter let the customer in; where it told nothing of that one, half way up from what it let in of the
-// plan, since most of what it dismisses is of few customers, far beyond their quotas.
+// chance is how likely the door's share lets a transaction in that it has room for. The floor of one a door
+// adds up past small quotas: a share of a fraction of one is given as often as the counter let the customer
+// in, or half way up from what it let in of the plan: it dismisses mostly few customers far beyond theirs.
 func (t *Transaction) chance() float64 {
 	part := t.plan.quota * t.customer.part(t.entries) / t.units
 	if part+slop >= 1 || !t.gate.terms.Counter {
@@ -413,9 +407,8 @@
 }
 
 // allowance is the door's share of a window, at least the transaction's units, and reckons what of it has
-// been refilled. Traffic is not spread evenly, least of all a few transactions over many doors: a share of a
-// fraction of one refills the quicker the less a unit beyond the quota costs. Two and a half times at the
-// full utility: with one and a half customers within their quotas lose more than is saved, with six less.
+// been refilled. Few transactions spread unevenly over many doors: a share of a fraction of one refills the
+// quicker the less a unit beyond costs, two and a half times at the full utility.
 func (t *Transaction) allowance(now int64) float64 {
 	c := t.customer
 	part := c.part(t.entries)
@@ -427,8 +420,7 @@
 	return max(t.plan.quota*part, t.units)
 }
 
-// part is the door's part of the customer's traffic: an even one to begin with. Exception: traffic is spread
-// unevenly, and the counter showed this door's part. Hurts when the spread changes during a silence.
+// part is the door's part of the customer's traffic: an even one, or as uneven as the counter showed it.
 func (c *customer) part(entries float64) float64 {
 	const even = 20 // units: twice what ten answers of one unit tell, so that chance does not pass for a part
 	return (c.mine + even/entries) / (c.mine + c.others + even)
@@ -554,8 +546,7 @@
 	return true
 }
 
-// look asks whether a shot that takes long is stalled: its backend has answered nothing since. Guards against
-// backends that hang, stand still or are cut off. Hurts when a transaction is merely long: work done twice.
+// look asks whether a shot that takes long is stalled: its backend has answered nothing since.
 func (t *Transaction) look(now int64, n int) {
 	s, g := t.shots[n], t.gate
 	s.overdue = true
@@ -658,18 +649,31 @@
 	}
 }
 
+// Asking is how long a watch waits for news, how late its answer may be, how long a whole list may take, and
+// how long after a failure one is asked for anew. Where lists are pushed, what the agent has counts at once,
+// a call that an outage silenced is never answered, and asking costs nobody anything: a third, a quarter and
+// a tenth of the drain's grace leave a third to the door. Elsewhere asking is work: a watch, told 2 s after
+// its wait, is as long as the terms allow; a list given up early keeps its place in a crowded line.
+func (t Terms) Asking() (watch, late, whole, again int64) {
+	if t.ListOnRequest {
+		return max(2*sec, t.AskWithin), sec, 3 * sec, 200 * ms
+	}
+	grace := max(t.DrainGrace, 200*ms) // shorter, a door would do little but ask
+	return grace / 3, grace / 4, grace / 2, grace / 10
+}
+
 // Backends brings the list of backends, or changes to it.
 func (g *Gate) Backends(now int64, how Listing, list []Listed) {
 	if how == ListFailed {
-		// Ever later, and spread by chance: else the doors fill a crowded discovery's line with calls that it answers
-		// too late, and none ever hears. A door that was refused counts as told only long after AskWithin.
+		// Spread by chance and, where asking is work, ever later: else the doors fill a crowded discovery's line
+		// with calls that it answers too late, and none ever hears. A refused one counts as told much later.
 		g.at(now+int64((1+g.chance.Float64())/2*float64(g.askAgain)), nil, func(int64) { g.door.Follow() })
-		if g.terms.ListOnRequest { // elsewhere an asking is no work to anybody
+		if g.terms.ListOnRequest {
 			g.askAgain = min(g.askAgain*3, max(g.terms.AskWithin, 500*ms))
 		}
 		return
 	}
-	g.askAgain = 200 * ms // half of it is within what continues a watch
+	_, _, _, g.askAgain = g.terms.Asking()
 	if how != Changes {
 		for _, b := range g.listed {
 			b.ready, b.gone = false, true
@@ -686,7 +690,7 @@
 			b.pace, b.strikes, b.errors, b.rest, b.turn = mean{}, 0, 0, 0, 0
 		}
 		b.zone, b.group, b.started = l.Zone, l.Group, l.Started
-		b.ready, b.gone, b.size = l.Stage == Ready, l.Stage == Gone, cmp.Or(max(l.Size, 0), 1) // unlisted sizes are alike
+		b.ready, b.gone, b.size = l.Stage == Ready, l.Stage == Gone, cmp.Or(max(l.Size, 0), 1) // none: alike
 	}
 	g.parts()
 	g.rank(now)
@@ -714,11 +718,10 @@
 	}
 }
 
-// rank orders the backends by the answer time against the fleet's, in steps of some 40% (finer is chance);
-// then those of the own zone where crossing has a price; then by the doors' parts, the own first, so that
-// doors do not crowd the same ones; then those not sent to for the longest, by size. An answer time counts as
-// far as it was measured: many doors see little of each. Limits follow it. A cold one has its budget alone,
-// and goes first: its turns are few, and work may be what warms it.
+// rank orders the backends by the answer time against the fleet's, as far as it was measured, in steps of
+// some 40% (finer is chance); then those of the own zone where crossing has a price; then by the doors'
+// parts, the own first; then those not sent to for the longest, by size. Limits follow the answer time. A
+// cold one has its budget alone, and goes first: its turns are few, and work may be what warms it.
 func (g *Gate) rank(now int64) {
 	g.ranked, g.whole = g.ranked[:0], 0
 	for _, b := range g.listed {
@@ -756,9 +759,8 @@
 
 // pick gives the first backend in the order that is below its limit, with none the least loaded, tried ones
 // last; of those only that likely answer within two fifths of the promised time left (few take 2.5 times the
-// likely) and 2.5 quiet times: backends held full do less; haste shortens both. A door has no more out than
-// one or two, its part of one for each backend, and what its pace of answers ends in that time and a third:
-// so many doors stop by themselves before late answers come. Hurts where traffic rises many times a second.
+// likely) and 2.5 quiet times; haste shortens both. A door has no more out than one or two, its part of one
+// for each backend, and what its pace of answers ends in that time and a third.
 func (g *Gate) pick(now int64, t *Transaction, haste float64) *backend {
 	var best *backend
 	// What its units take beyond the mean leaves less of the time.
@@ -880,12 +882,11 @@
 }
 
 // coldRoom keeps the doors together within half the multiple of what a cold backend bears, since transactions
-// differ in work: a third for each span, of what a warm one does: at least one core's, with half as much again
-// as the quiet answer time for work, for slower ones; more as far as warm ones are seen to, by this door and
-// all alike. Its shots are numbered from its start and go to the doors in turn, one each. A turn holds for
-// half a span, which the rest of the half is for: a door of a large fleet has seldom something to send just
-// then, and most turns were lost. So the sum holds for any number of doors without a word between them. A door
-// that has itself just started waits a span: its earlier life may have sent much.
+// differ in work: a third for each span, of what a warm one does: one core's work, of half as much again as
+// the quiet answer time, or more as far as warm ones are seen to. Its shots are numbered from its start and
+// go to the doors in turn, one each, for half a span: the rest of the half is for that, since a door of a
+// large fleet seldom has something to send just then. So the sum holds for any number of doors without a word
+// between them. A door that has itself just started waits a span: its earlier life may have sent much.
 func (t *Transaction) coldRoom(now int64, b *backend) bool {
 	g := t.gate
 	if !g.cold(now, b) {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -605,6 +605,32 @@
 	}
 }
 
+// Failure: a call to a pushed list that an outage had silenced was given up after 3 s and asked anew up to 0.2 s
+// later, whatever the grace: 23 backends that drained were sent to 335 times. A third of the grace is the door's own.
+func TestSilentListIsAskedAnewWithinTheGrace(t *testing.T) {
+	for _, grace := range []int64{200 * ms, 250 * ms, 500 * ms, sec, 10 * sec} {
+		watch, late, whole, again := Terms{DrainGrace: grace}.Asking()
+		if max(watch+late, whole)+again > grace*7/10 || watch < 50*ms {
+			t.Errorf("of a grace of %d: a watch of %d and %d, a list of %d, again after %d", grace, watch, late, whole, again)
+		}
+		terms := plainTerms()
+		terms.DrainGrace = grace
+		d := newDesk(t, terms, ready(1)...)
+		for range 20 { // however long the outage
+			n := d.follows
+			d.list(ListFailed)
+			if d.pass(grace/10 + 8*ms); d.follows != n+1 {
+				t.Fatalf("asked %d times within a tenth of %d", d.follows-n, grace)
+			}
+		}
+	}
+	// Asked for: a watch counts as told two seconds after its wait, and a call that may not wait after six.
+	watch, late, whole, again := Terms{ListOnRequest: true, AskWithin: 10 * sec}.Asking()
+	if late+again > 2*sec || whole+again > 6*sec || watch != 10*sec {
+		t.Errorf("on request: %d, %d, %d, %d", watch, late, whole, again)
+	}
+}
+
 // Failure: doors refused by an overbooked discovery asked again all at once, and as often: its line was always full
 // of calls that it answered too late, and no door ever heard. Here it takes 20 calls a second, in turn, works
 // at those too that have waited for more than two seconds, and then refuses them.
