--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -6,6 +6,7 @@
 	"net/http/httptest"
 	"net/netip"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -49,10 +50,12 @@
 
 // serve answers each call with the next of the texts; "fail" is an error, and after the last it is silent.
 func serve(t *testing.T, texts ...string) (*Client, *ear, chan string) {
-	calls, n := make(chan string, 100), 0
+	calls := make(chan string, 100)
+	var called atomic.Int64 // a call that is given up may still be here when the next comes
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		calls <- r.URL.String()
-		if n++; n > len(texts) {
+		n := int(called.Add(1))
+		if n > len(texts) {
 			<-r.Context().Done()
 		} else if texts[n-1] == "fail" {
 			w.WriteHeader(500)
--- a/internal/dnsd/dnsd_test.go
+++ b/internal/dnsd/dnsd_test.go
@@ -628,9 +628,10 @@
 	for ; r.seen < len(log); r.seen++ {
 		r.kv.Apply(kv.Index(r.seen+1), log[r.seen])
 	}
+	tell := r.news // read here: the test sets it once the replica's server has started
 	r.mu.Unlock()
-	if news && r.news != nil {
-		r.news()
+	if news && tell != nil {
+		tell()
 	}
 }
 
