--- a/cmd/fawnplank/lists_test.go
+++ b/cmd/fawnplank/lists_test.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -142,17 +141,8 @@
 				os.WriteFile(file, []byte(text), 0o600)
 			}
 			write(a.address())
-			c := program("serve", "-c", file)
-			log, _ := c.StderrPipe()
 			told := time.Now()
-			if err := c.Start(); err != nil {
-				t.Fatal(err)
-			}
-			defer c.Process.Kill()
-			lines := bufio.NewScanner(log)
-			for lines.Scan() && !strings.Contains(lines.Text(), "listens") {
-			}
-			go io.Copy(io.Discard, log)
+			c := serving(t, file)
 			conn, err := net.Dial("tcp", address)
 			if err != nil {
 				t.Fatal(err)
--- a/cmd/fawnplank/main_test.go
+++ b/cmd/fawnplank/main_test.go
@@ -36,6 +36,22 @@
 	return c
 }
 
+// serving starts a front door and waits until it listens; it is killed at the test's end.
+func serving(t *testing.T, file string) *exec.Cmd {
+	t.Helper()
+	c := program("serve", "-c", file)
+	log, _ := c.StderrPipe()
+	if err := c.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Process.Kill() })
+	lines := bufio.NewScanner(log)
+	for lines.Scan() && !strings.Contains(lines.Text(), "listens") {
+	}
+	go io.Copy(io.Discard, log)
+	return c
+}
+
 const configuration = `{"name":"n0","listen":%q,"discovery":%q,"seed":"8c1f30d27a5be964",
 	"limits":{"memory_mb":64,"sockets":128},
 	"known":{"index":1,"snapshot":true,"endpoints":[{"name":"s-1","address":%q,"zone":"a","type":"m2","group":1,
@@ -116,16 +132,7 @@
 	file := filepath.Join(t.TempDir(), "config.json")
 	os.WriteFile(file, []byte(fmt.Sprintf(configuration, address, strings.TrimPrefix(discovery.URL, "http://"),
 		backend)), 0o600)
-	c := program("serve", "-c", file)
-	log, _ := c.StderrPipe()
-	if err := c.Start(); err != nil {
-		t.Fatal(err)
-	}
-	defer c.Process.Kill()
-	lines := bufio.NewScanner(log)
-	for lines.Scan() && !strings.Contains(lines.Text(), "listens") {
-	}
-	go io.Copy(io.Discard, log)
+	c := serving(t, file)
 
 	const query = "*4\r\n$9\r\nSVC.QUERY\r\n$16\r\n0000000000000005\r\n$1\r\n%d\r\n$22\r\nc=lookup,t=team,d=1400\r\n"
 	asked := 0
@@ -238,16 +245,7 @@
 	free.Close()
 	file := filepath.Join(t.TempDir(), "config.json")
 	os.WriteFile(file, []byte(fmt.Sprintf(configuration, address, "127.0.0.1:2", "127.0.0.1:3")), 0o600)
-	c := program("serve", "-c", file)
-	log, _ := c.StderrPipe()
-	if err := c.Start(); err != nil {
-		t.Fatal(err)
-	}
-	defer c.Process.Kill()
-	lines := bufio.NewScanner(log)
-	for lines.Scan() && !strings.Contains(lines.Text(), "listens") {
-	}
-	go io.Copy(io.Discard, log)
+	c := serving(t, file)
 	resident := func() (kb int) {
 		text, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", c.Process.Pid))
 		_, rest, ok := strings.Cut(string(text), "VmRSS:")
@@ -309,16 +307,7 @@
 		!strings.Contains(string(out), "known: 1 backends") {
 		t.Fatalf("%v, %s", err, out)
 	}
-	c := program("serve", "-c", fresh)
-	log, _ := c.StderrPipe()
-	if err := c.Start(); err != nil {
-		t.Fatal(err)
-	}
-	defer c.Process.Kill()
-	lines := bufio.NewScanner(log)
-	for lines.Scan() && !strings.Contains(lines.Text(), "listens") {
-	}
-	go io.Copy(io.Discard, log)
+	c := serving(t, fresh)
 	ask := func(id int) *bufio.Reader {
 		conn, err := net.Dial("tcp", address)
 		if err != nil {
