--- a/cmd/fawnplank/main_test.go
+++ b/cmd/fawnplank/main_test.go
@@ -307,7 +307,7 @@
 		!strings.Contains(string(out), "known: 1 backends") {
 		t.Fatalf("%v, %s", err, out)
 	}
-	c := serving(t, fresh)
+	serving(t, fresh)
 	ask := func(id int) *bufio.Reader {
 		conn, err := net.Dial("tcp", address)
 		if err != nil {
