An attempt that is given up ends its sending; no reuse within 10 ms of an answer; probes counted

Cause: conn.Drop kept a given-up attempt's connection open, sending and all, for up to 3 s, so that a late answer is not cut off; the protocol counts the attempt as out until its connection ends or its sending does, and where no second copies are allowed the next attempt was a second. Ruled out: policy (allowed() refuses while one is out; TimedOut had ended it). A connection rests 10 ms first. - probes dialled beside the pool's count, as many as backends were struck: they take the pool's places now. - a command answered before it was written whole left its connection among the warm ones: closed (guard, no test of its own).

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -39,6 +39,9 @@
 	// roomWait is how long a reader waits for room for a large answer: the longest deadline of the operators'
 	// page. Meanwhile that backend's connection is not read on.
 	roomWait = 3 * time.Second
+	// mostLate is how late a second answer to one shot may come: some milliseconds, as the operators say. The next
+	// shot on that connection would take it for its own; younger at rest, the connection is not used.
+	mostLate = 10 * time.Millisecond
 )
 
 // errCrowded says that no descriptor is left for a connection.
@@ -180,15 +183,25 @@
 	for len(to.warm) > 0 && now.Sub(to.warm[0].used) > p.idle {
 		to.warm[0].close()
 	}
-	for n := len(to.warm); n > 0; n = len(to.warm) {
+	for n := len(to.warm) - 1; n >= 0; n-- {
+		c = to.warm[n]
+		if now.Sub(c.used) < mostLate {
+			continue
+		}
 		// What its reader has not dealt with, bytes that belong to nothing or its end, must not meet the next shot.
-		if c = to.warm[n-1]; c.nc.Settled() && !p.rests.stale(now, now.Sub(c.used)) {
-			to.warm = to.warm[:n-1]
+		if c.nc.Settled() && !p.rests.stale(now, now.Sub(c.used)) {
+			to.warm = slices.Delete(to.warm, n, n+1)
 			c.rest = now.Sub(c.used)
 			return c, to, nil
 		}
 		c.close()
 	}
+	return nil, to, p.place()
+}
+
+// place counts a connection that is to be opened; where there are as many as may be, the one longest at rest goes. The
+// pool's lock is held.
+func (p *Pool) place() error {
 	if p.conns >= p.most {
 		var oldest *conn
 		for _, other := range p.peers { // of two as old, either will do
@@ -197,12 +210,12 @@
 			}
 		}
 		if oldest == nil {
-			return nil, to, errCrowded
+			return errCrowded
 		}
 		oldest.close()
 	}
 	p.conns++
-	return nil, to, nil
+	return nil
 }
 
 // Send sends a shot: the parts of a command, which must stay as they are until the shot is over. The shot is
@@ -287,6 +300,9 @@
 	}
 	n, err := c.nc.WriteParts(command...)
 	p.mu.Lock()
+	if n < whole { // answered before it was written: what follows would stand behind half a command
+		c.close()
+	}
 	c.wrote()
 	if c.shot != s { // answered meanwhile
 		p.mu.Unlock()
@@ -321,8 +337,10 @@
 		// count as a lost request where it is long: the reader takes what comes and drops it, then ends the
 		// connection; it waits roomWait at most for each piece. Hurts by keeping the connection and its room
 		// longer, and a backend that answers nothing keeps it roomWait.
+		// Its sending ends at once: that gives the shot up, and another may go out for the transaction.
 		c.shot = nil
 		c.orphan.Store(true)
+		c.nc.CloseWrite()
 		c.nc.SetReadDeadline(time.Now().Add(roomWait))
 		return false
 	}
@@ -568,11 +586,19 @@
 
 func (p *Pool) probe(b policy.BackendID) error {
 	p.mu.Lock()
-	to := p.peers[b]
+	to, err := p.peers[b], errors.New("no address known")
+	if to != nil {
+		err = p.place() // probes have no descriptors of their own
+	}
 	p.mu.Unlock()
-	if to == nil {
-		return &facade.Fault{Came: facade.Dialling, Err: errors.New("no address known")}
+	if err != nil {
+		return &facade.Fault{Came: facade.Dialling, Err: err}
 	}
+	defer func() {
+		p.mu.Lock()
+		p.conns--
+		p.mu.Unlock()
+	}()
 	until := time.Now().Add(p.patient)
 	nc, err := net.DialTimeout("tcp4", to.address, p.patient)
 	if err != nil {
--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"errors"
+	"io"
 	"math/rand"
 	"net"
 	"net/netip"
@@ -127,10 +129,91 @@
 	}
 	p.mu.Lock()
 	c.settle()
+	c.used = c.used.Add(-mostLate) // at rest for long enough
 	p.mu.Unlock()
 	return c
 }
 
+// Failure: a connection was used again at once after an answer, and a second answer that came some milliseconds after
+// the first was taken for the next shot's.
+func TestConnectionRestsForALateSecondAnswer(t *testing.T) {
+	p := New(10, 200*time.Millisecond, 10*time.Second, nil)
+	at, conns := listen(t, "")
+	p.Place(1, at)
+	c := warm(t, p, 1)
+	p.mu.Lock()
+	c.used = time.Now()
+	p.mu.Unlock()
+	if again, _, err := p.take(1); again != nil || err != nil || c.down {
+		t.Errorf("%v, %v, closed: %t", again, err, c.down)
+	}
+	(<-conns).Write([]byte("*1\r\n$3\r\nold\r\n"))
+	for down := false; !down; time.Sleep(time.Millisecond) { // the late one ends the connection
+		p.mu.Lock()
+		down = c.down
+		p.mu.Unlock()
+	}
+	old, young := warm(t, p, 1), warm(t, p, 1)
+	if old == young {
+		old = warm(t, p, 1)
+	}
+	p.mu.Lock()
+	young.used = time.Now()
+	p.mu.Unlock()
+	if again, _, err := p.take(1); again == young || err != nil {
+		t.Errorf("the one that has just been used, %v", err)
+	}
+}
+
+// Probes hold descriptors of the pool, not of its owner's few: as many as there are backends may be under way.
+func TestProbesAreCountedAmongTheConnections(t *testing.T) {
+	told := make(chan error, 10)
+	p := New(2, 300*time.Millisecond, time.Second, func(b policy.BackendID, err error) { told <- err })
+	at, conns := listen(t, "")
+	for b := policy.BackendID(1); b <= 3; b++ {
+		p.Place(b, at)
+	}
+	for b := policy.BackendID(1); b <= 2; b++ {
+		p.Probe(b)
+		<-conns
+	}
+	p.Probe(3)
+	if err := <-told; !errors.Is(err, errCrowded) {
+		t.Errorf("a third probe of two: %v", err)
+	}
+	if _, _, err := p.take(1); err != errCrowded {
+		t.Errorf("a connection beside them: %v", err)
+	}
+	<-told
+	<-told
+	for range 2 {
+		if _, _, err := p.take(1); err != nil {
+			t.Errorf("after them: %v", err)
+		}
+	}
+}
+
+// A shot that is given up ends the sending on its connection at once: until then it counts as out, and where no second
+// copies are allowed the next one would be a second.
+func TestAShotGivenUpEndsTheSending(t *testing.T) {
+	p := New(10, 200*time.Millisecond, 10*time.Second, nil)
+	at, conns := listen(t, "")
+	p.Place(1, at)
+	c := warm(t, p, 1)
+	s := &facade.Shot{}
+	p.mu.Lock()
+	c.shot, c.came = s, facade.Written
+	p.mu.Unlock()
+	if c.Drop(s) {
+		t.Error("it is to be reported")
+	}
+	there := <-conns
+	there.SetReadDeadline(time.Now().Add(time.Second)) // a third of what its reader waits for the rest of an answer
+	if _, err := there.Read(make([]byte, 1)); err != io.EOF {
+		t.Errorf("the backend reads %v", err)
+	}
+}
+
 func TestWarmConnectionsAreBounded(t *testing.T) {
 	p := New(2, 200*time.Millisecond, 200*time.Millisecond, nil)
 	one, conns := listen(t, "")
@@ -213,6 +296,9 @@
 	p.mu.Lock()
 	c.wrote()
 	p.mu.Unlock()
+	p.mu.Lock()
+	c.used = c.used.Add(-mostLate)
+	p.mu.Unlock()
 	if got, _, _ := p.take(1); got != c {
 		t.Error("not warm after the writer is done")
 	}
