A dial to discovery ends with its call: an outage no longer piles up descriptors

Cause, read in the transport's page: a dial goes on for calls to come after the call that wanted it was given up, and the dialler had no time of its own. Where discovery's machine is cut off (connections never come up) each call, every 0.6 s on a pushed list, left one descriptor waiting for minutes, beside clients that fill theirs. The call's context passes on its values alone, so its time goes along as one; a dial takes as long as a whole list may at most.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -84,10 +84,22 @@
 
 type tcp4 struct{ net.Dialer }
 
+// DialContext gives the dial up with the call's own time. Guards against descriptors without end in an outage: the
+// transport dials on, for calls to come, after the call that wanted the connection was given up, until the system
+// gives up too, which takes minutes.
 func (d tcp4) DialContext(ctx context.Context, _, address string) (net.Conn, error) {
+	if within, ok := ctx.Value(dialWithin{}).(time.Duration); ok {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, within)
+		defer cancel()
+	}
 	return d.Dialer.DialContext(ctx, "tcp4", address)
 }
 
+// dialWithin is the key under which a call's context says how long a dial for it may take; of all that the context
+// says the transport passes on its values alone.
+type dialWithin struct{}
+
 // New makes a client.
 func New(told Told, addresses Addresses, s *config.Start) *Client {
 	c := &Client{told: told, addresses: addresses, base: baseOf(s.Discovery),
@@ -334,7 +346,7 @@
 		url, within = fmt.Sprintf("%s?index=%d&wait=%d", c.base, c.index, c.wait.Milliseconds()), c.wait+c.late
 	}
 	*moves = c.moves
-	ctx, cancel := context.WithTimeout(context.Background(), within)
+	ctx, cancel := context.WithTimeout(context.WithValue(context.Background(), dialWithin{}, min(within, c.whole)), within)
 	c.give = cancel
 	c.mu.Unlock()
 	defer cancel()
