The door's end and clients who go: what was read is answered, nothing after is read, no attempt for the gone

Reading and shutting now change under one lock, held round each non-blocking read alone. - a connection with answers owed went on reading at the end, so that a client who sent on and on was never done with. - a close over unread bytes reset the connection under the last answer: sending ends first, the client has 200 ms to close. - a connection taken in just before the end was closed before its first request came: it has 200 ms. - while the reader waited (full line, pause after faults, memory, answers before an error) a client's end behind unread bytes went unseen, and what it had open was sent again. Another looks out for it meanwhile (POLLRDHUP). - a request that had lain unread while its client left was taken: the peer's end is looked for where a read did not wait. - where all connections were busy when one more came, it waited until one ended, also once all rested. - the program ends only once its accept loop has, not merely when no connection is counted. The tests' own races with the server (fields set while it served) are gone: the package runs clean under the race detector.

--- a/cmd/fawnplank/main.go
+++ b/cmd/fawnplank/main.go
@@ -309,7 +309,7 @@
 		longest = max(longest, p.HardLimit)
 	}
 	for until := time.Now().Add(time.Duration(longest)); time.Now().Before(until); {
-		if server.Close(); server.Connections() == 0 {
+		if server.Close(); !server.Serving() && server.Connections() == 0 {
 			break
 		}
 		time.Sleep(10 * time.Millisecond)
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -66,7 +66,9 @@
 	slowest time.Duration                // that a client may take to take in an answer: longer than it may wait for one
 	mu      sync.Mutex
 	clients map[*client]struct{}
-	freed   *sync.Cond          // a connection has ended
+	freed   *sync.Cond  // a connection has ended, or may have come to rest
+	wanted  atomic.Bool // somebody waits for that
+	serving atomic.Bool
 	ids     map[string]struct{} // of the open transactions
 	Figures *metrics.Figures    // counted here: transactions taken, open and answered
 	Room    *room.Room          // for large commands, beside the backends' large answers
@@ -139,6 +141,8 @@
 	ended := make(chan struct{})
 	defer close(ended)
 	go s.sweep(ended)
+	s.serving.Store(true)
+	defer s.serving.Store(false)
 	for {
 		nc, err := l.Accept()
 		if errors.Is(err, net.ErrClosed) || errors.Is(err, os.ErrDeadlineExceeded) {
@@ -185,21 +189,34 @@
 	}
 	now := time.Now()
 	c := &client{server: s, nc: nc, born: now, quiet: now}
+	nc.Reading = c
 	c.since.Store(1)
 	c.room = sync.NewCond(&c.mu)
 	s.mu.Lock()
 	for s.spoken() >= s.roomy && s.closeQuiet(true) {
 	}
 	for len(s.clients) >= s.most {
+		s.wanted.Store(true) // before looking: what comes to rest from here on says so
 		if !s.closeQuiet(false) {
 			s.freed.Wait()
 		}
 	}
+	s.wanted.Store(false)
 	s.clients[c] = struct{}{}
 	s.mu.Unlock()
 	go c.read()
 }
 
+// spare says that a connection may have come to rest, where another waits for its room. Guards against connections
+// that all were busy when one more came, and then rested for good: nobody looked at them again.
+func (s *Server) spare() {
+	if s.wanted.Load() {
+		s.mu.Lock()
+		s.freed.Signal()
+		s.mu.Unlock()
+	}
+}
+
 // spoken tells how many connections have sent a command that is in order.
 func (s *Server) spoken() (n int) {
 	for c := range s.clients {
@@ -259,12 +276,21 @@
 func (s *Server) closeAll() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	now := time.Now()
 	for c := range s.clients {
 		c.last.Store(true)
-		c.closeResting()
+		// What has come, or is about to on a new connection, is taken in and answered first.
+		if c.young(now) {
+			c.nc.SetReadDeadline(c.born.Add(fresh))
+		} else if c.nc.Waiting() <= 0 {
+			c.endResting()
+		}
 	}
 }
 
+// Serving tells whether connections are taken in; one may have been accepted that is not counted yet.
+func (s *Server) Serving() bool { return s.serving.Load() }
+
 // Connections tells how many there are.
 func (s *Server) Connections() int {
 	s.mu.Lock()
@@ -282,16 +308,20 @@
 	room   *sync.Cond
 	born   time.Time
 	quiet  time.Time
-	bounds time.Time    // of writing
-	gone   bool         // the client is
-	shut   bool         // closed by us between transactions
-	ending bool         // turned away: nothing is taken any more
-	spoke  atomic.Bool  // has sent a command that is in order
-	last   atomic.Bool  // ends after the answers owed
-	since  atomic.Int64 // the age at which what has come of a command, or the silence, began; 0: neither
-	faults int          // of the reader: errors answered
-	large  int64        // of the room, held by the reader's buffer
-	given  bool         // the reader's buffer went with a large command
+	bounds time.Time // of writing
+	gone   bool      // the client is
+	ending bool      // turned away: nothing is taken any more
+	// reading is held round each try to read, and never while anything waits. shut, closed by us between transactions,
+	// and busy, bytes were read and not taken yet, change under it alone: what was read is taken and answered, and
+	// once the connection is shut nothing is read.
+	reading    sync.Mutex
+	shut, busy bool
+	spoke      atomic.Bool  // has sent a command that is in order
+	last       atomic.Bool  // ends after the answers owed
+	since      atomic.Int64 // the age at which what has come of a command, or the silence, began; 0: neither
+	faults     int          // of the reader: errors answered
+	large      int64        // of the room, held by the reader's buffer
+	given      bool         // the reader's buffer went with a large command
 }
 
 // command is one command, with its answer once there is one.
@@ -327,32 +357,113 @@
 	default:
 		rank = 4
 	}
-	return rank, c.quiet, len(c.line) == 0
+	c.reading.Lock()
+	defer c.reading.Unlock()
+	return rank, c.quiet, len(c.line) == 0 && !c.busy
+}
+
+// Before and After stand round the reader's tries to read.
+func (c *client) Before() bool {
+	c.reading.Lock()
+	if c.shut {
+		c.reading.Unlock()
+		return false
+	}
+	return true
+}
+
+func (c *client) After(n int) {
+	c.busy = c.busy || n > 0
+	c.reading.Unlock()
+}
+
+// young says that the connection's first command is likely on its way.
+func (c *client) young(now time.Time) bool { return !c.spoke.Load() && now.Sub(c.born) < fresh }
+
+// rests says that all that was read has been taken.
+func (c *client) rests() {
+	c.reading.Lock()
+	c.busy = false
+	c.reading.Unlock()
+	c.server.spare()
+}
+
+// shutResting lets nothing be read any more, if nothing is open on the connection. The caller holds mu.
+func (c *client) shutResting() bool {
+	if len(c.line) > 0 {
+		return false
+	}
+	c.reading.Lock()
+	defer c.reading.Unlock()
+	c.shut = c.shut || !c.busy
+	return c.shut
 }
 
-// closeResting closes the connection if nothing is open on it. What its reader has read but not yet taken is not
-// taken then: the client sends it again on a new connection.
+// closeResting closes the connection at once if nothing is open on it: its descriptor is wanted.
 func (c *client) closeResting() bool {
 	if !c.mu.TryLock() {
 		return false
 	}
 	defer c.mu.Unlock()
-	if len(c.line) > 0 {
+	if !c.shutResting() {
 		return false
 	}
-	c.shut = true
 	c.nc.Close()
 	return true
 }
 
-// add puts a command at the end of the line, once that has room; false says that the connection is closed.
+// endResting ends the connection if nothing is open on it: sending ends, and the reader closes it.
+func (c *client) endResting() {
+	if !c.mu.TryLock() {
+		return
+	}
+	defer c.mu.Unlock()
+	c.end()
+}
+
+// end is endResting with mu held. Guards against a close over unread bytes, which resets the connection, and takes
+// with it an answer that is still on its way: after one, the client is given fresh to have taken it.
+func (c *client) end() {
+	if !c.shutResting() {
+		return
+	}
+	c.nc.CloseWrite()
+	c.nc.SetReadDeadline(time.Now()) // wakes the reader
+}
+
+// linger waits until the client has closed the connection that end has ended, for fresh after the last answer at most.
+func (c *client) linger() {
+	c.mu.Lock()
+	until := c.quiet.Add(fresh)
+	c.mu.Unlock()
+	if !c.spoke.Load() {
+		return // nothing was answered
+	}
+	for time.Now().Before(until) {
+		c.nc.SetReadDeadline(until)
+		if c.nc.AwaitHangUp() {
+			return
+		}
+	}
+}
+
+// add puts a command at the end of the line, once that has room; false says that the client has gone, or that the
+// connection is closed.
 func (c *client) add(k *command) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for len(c.line) >= mostUnanswered || c.held > mostHeld {
-		c.room.Wait()
+	if len(c.line) >= mostUnanswered || c.held > mostHeld {
+		c.mu.Unlock()
+		c.watched(func() {
+			c.mu.Lock()
+			for !c.gone && (len(c.line) >= mostUnanswered || c.held > mostHeld) {
+				c.room.Wait()
+			}
+			c.mu.Unlock()
+		})
+		c.mu.Lock()
 	}
-	if c.shut {
+	if c.gone || c.isShut() {
 		return false
 	}
 	c.line = append(c.line, k)
@@ -360,6 +471,52 @@
 	return true
 }
 
+// watched has something done that waits, in the reader's place, while another looks out for the client's end: behind
+// bytes that nobody reads it would go unseen, and what is open here would be sent on for nobody. Guards against
+// attempts begun for clients who had sent more than is taken at once, and left.
+func (c *client) watched(wait func()) {
+	var over atomic.Bool
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for !over.Load() {
+			if c.nc.AwaitHangUp() {
+				c.left()
+				return
+			}
+			c.nc.SetReadDeadline(time.Time{}) // the sweep's; over is looked at after it, and set before its own
+		}
+	}()
+	wait()
+	over.Store(true)
+	c.nc.SetReadDeadline(time.Now())
+	<-done
+	c.nc.SetReadDeadline(time.Time{})
+}
+
+// answered waits until nothing is open on the connection, or the client has gone; mu is not held.
+func (c *client) answered() {
+	c.mu.Lock()
+	open := len(c.line) > 0
+	c.mu.Unlock()
+	if open {
+		c.watched(func() {
+			c.mu.Lock()
+			for !c.gone && len(c.line) > 0 {
+				c.room.Wait()
+			}
+			c.mu.Unlock()
+		})
+	}
+}
+
+// departed tells whether the client is known to have gone.
+func (c *client) departed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.gone
+}
+
 // read reads commands until the connection ends.
 func (c *client) read() {
 	defer c.leave()
@@ -371,17 +528,30 @@
 	buf, held := make([]byte, 4096), 0
 	var args [][]byte
 	for {
+		c.rests()
+		if c.last.Load() && !c.young(time.Now()) { // nothing more is read before all that was taken is answered, and nothing after
+			c.answered()
+			c.mu.Lock()
+			if c.last.Load() {
+				c.end()
+			}
+			c.mu.Unlock()
+		}
 		n, err := c.nc.Read(buf[held:])
+		if c.isShut() {
+			c.linger()
+			return
+		}
 		if errors.Is(err, os.ErrDeadlineExceeded) {
-			if c.since.Load() == 0 { // it came whole in that moment
+			if c.since.Load() == 0 || c.last.Load() { // it came whole in that moment, or the connection is to end
 				c.nc.SetReadDeadline(time.Time{})
 				continue
 			}
 			c.turnAway("Protocol error: no whole command in time")
 			return
 		}
-		if err != nil {
-			return
+		if err != nil || !c.nc.Waited() && c.nc.HungUp() {
+			return // what waited to be read may be of a client who went long ago
 		}
 		held += n
 		rest := buf[:held]
@@ -397,8 +567,11 @@
 			}
 			before := c.faults
 			c.command(rest[:size], args)
+			if c.departed() {
+				return
+			}
 			if rest = rest[size:]; c.faults > before { // the same again at once gains nothing
-				time.Sleep(min(time.Duration(c.faults)*10*time.Millisecond, longestPause))
+				c.watched(func() { c.pause(min(time.Duration(c.faults)*10*time.Millisecond, longestPause)) })
 			} else if c.since.Load() != 0 {
 				c.since.Store(0)
 				c.spoke.Store(true)
@@ -436,10 +609,35 @@
 	}
 }
 
+func (c *client) isShut() bool {
+	c.reading.Lock()
+	defer c.reading.Unlock()
+	return c.shut
+}
+
+// pause waits for so long, or until the client has gone.
+func (c *client) pause(long time.Duration) {
+	over := false
+	timer := time.AfterFunc(long, func() {
+		c.mu.Lock()
+		over = true
+		c.mu.Unlock()
+		c.room.Broadcast()
+	})
+	defer timer.Stop()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for !c.gone && !over {
+		c.room.Wait()
+	}
+}
+
 // roomFor waits for room for a larger buffer, as long as a command may take to come whole; false: the client
 // has been turned away.
 func (c *client) roomFor(bytes int) bool {
-	got, ok := c.server.Room.Take(int64(bytes), time.Now().Add(patience))
+	var got int64
+	var ok bool
+	c.watched(func() { got, ok = c.server.Room.Take(int64(bytes), time.Now().Add(patience)) })
 	if !ok {
 		c.turnAway("busy: no room for a large value")
 		return false
@@ -451,10 +649,8 @@
 // turnAway ends the connection with an error, behind all that is owed on it.
 func (c *client) turnAway(text string) {
 	c.answerNow("-ERR " + text)
+	c.answered()
 	c.mu.Lock()
-	for len(c.line) > 0 {
-		c.room.Wait()
-	}
 	c.ending = true
 	c.mu.Unlock()
 	c.nc.CloseWrite()
@@ -689,6 +885,7 @@
 		c.server.Figures.Over()
 		c.server.Room.Give(k.large)
 	}
+	defer c.server.spare()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if answer == nil {
@@ -707,11 +904,10 @@
 		c.line = nil
 		c.quiet = time.Now()
 		if c.last.Load() {
-			c.shut = true
-			c.nc.Close()
+			c.end()
 		}
 	}
-	c.room.Signal()
+	c.room.Broadcast()
 }
 
 func (c *client) write(answer []byte) {
@@ -733,11 +929,8 @@
 	}
 }
 
-// leave ends the connection: what is open on it is told that the client is gone.
-func (c *client) leave() {
-	c.nc.Close()
-	c.server.Room.Give(c.large)
-	c.large = 0
+// left tells all that is open on the connection that the client has gone.
+func (c *client) left() {
 	c.mu.Lock()
 	c.gone = true
 	open := append([]*command(nil), c.line...)
@@ -748,6 +941,14 @@
 			k.t.Leave()
 		}
 	}
+}
+
+// leave ends the connection: what is open on it is told that the client is gone.
+func (c *client) leave() {
+	c.nc.Close()
+	c.server.Room.Give(c.large)
+	c.large = 0
+	c.left()
 	s := c.server
 	s.mu.Lock()
 	delete(s.clients, c)
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -50,8 +50,9 @@
 		Effect: policy.AtMostOnce}},
 	Plans: []policy.PlanTerms{{}, {Parallel: 1}}}
 
-// open builds a house; for each command that a backend hears, it sends on heard, or calls hear where given.
-func open(t *testing.T, most int, hear func(heard)) *house {
+// open builds a house; for each command that a backend hears, it sends on heard, or calls hear where given. set changes
+// the server before it serves.
+func open(t *testing.T, most int, hear func(heard), set ...func(*Server)) *house {
 	h := &house{t: t, facade: facade.New(), heard: make(chan heard, 100), ended: map[net.Conn]bool{}}
 	if hear == nil {
 		hear = func(c heard) { h.heard <- c }
@@ -62,6 +63,9 @@
 		Plans: map[string]policy.PlanID{"team": 0, "one": 1}, MostUnits: 8}
 	h.server = New(h.facade, h.pool, start, most)
 	h.server.roomy = most
+	for _, change := range set {
+		change(h.server)
+	}
 	h.at = h.listen()
 	go h.server.Serve(h.at)
 	for b := policy.BackendID(1); b <= 2; b++ {
@@ -678,8 +682,7 @@
 
 // Each answer is counted for its class where it is given, and what is open returns to nought.
 func TestFiguresOfAnswers(t *testing.T) {
-	h := open(t, 10, nil)
-	h.server.Figures = metrics.New([]string{"lookup", "pay"})
+	h := open(t, 10, nil, func(s *Server) { s.Figures = metrics.New([]string{"lookup", "pay"}) })
 	c, r := h.dial()
 	io.WriteString(c, query("1", lookup))
 	h.next().answer("*3\r\n$2\r\nok\r\n$-1\r\n$-1\r\n")
@@ -718,12 +721,11 @@
 // A 4 MiB value that comes in pieces cut anywhere, over longer than a command may take at one go, passes whole
 // both ways, two at once within their room, and all room is given back.
 func TestLargeValuesInPieces(t *testing.T) {
+	const most = 10 << 20 // two large commands at a time
 	h := open(t, 10, func(c heard) {
 		c.answer("*3\r\n$" + strconv.Itoa(4<<20) + "\r\n" + strings.Repeat("v", 4<<20) + "\r\n$-1\r\n$-1\r\n")
-	})
-	const most = 10 << 20 // two large commands at a time
+	}, func(s *Server) { s.Room = room.New(most) })
 	clients := 2
-	h.server.Room = room.New(most)
 	body := strings.Repeat("b", 4<<20)
 	list := "c=lookup,t=team,d=1900"
 	want := "$" + strconv.Itoa(4<<20) + "\r\n" + strings.Repeat("v", 4<<20) + "\r\n"
@@ -760,36 +762,46 @@
 }
 
 // Failure: a shot given up while its long answer was still coming closed the connection under the backend,
-// which the operators count as a lost request. The rest is read, and the connection ends after it.
+// which the operators count as a lost request. The rest is read, and the connection ends after it; that the door ends its
+// own sending there, as the protocol asks of who gives up, cuts nothing off.
 func TestLongAnswerIsNotCutOff(t *testing.T) {
 	var h *house
-	cut := make(chan bool, 1)
+	cut, kept := make(chan error, 1), make(chan bool, 1)
 	h = open(t, 10, func(c heard) {
 		value := strings.Repeat("v", 2<<20)
 		answer := "*3\r\n$" + strconv.Itoa(len(value)) + "\r\n" + value + "\r\n$-1\r\n$-1\r\n"
 		io.WriteString(c.conn, answer[:1<<20])
-		time.Sleep(700 * time.Millisecond) // the transaction's time is up meanwhile
-		h.mu.Lock()
-		ended := h.ended[c.conn]
-		h.mu.Unlock()
-		_, err := io.WriteString(c.conn, answer[1<<20:])
-		cut <- ended || err != nil
+		h.until("the time is up, and the sending ended", func() bool {
+			h.mu.Lock()
+			defer h.mu.Unlock()
+			return h.ended[c.conn]
+		})
+		for at := 1 << 20; at < len(answer); { // in pieces: a connection that is closed shows in the piece after
+			next := min(at+64<<10, len(answer))
+			if _, err := io.WriteString(c.conn, answer[at:next]); err != nil {
+				cut <- err
+				return
+			}
+			at = next
+			time.Sleep(20 * time.Millisecond)
+		}
+		cut <- nil
+		for deadline := time.Now().Add(time.Second); time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
+			if _, err := io.WriteString(c.conn, "x"); err != nil {
+				kept <- false
+				return
+			}
+		}
+		kept <- true
 	})
 	c, r := h.dial()
 	io.WriteString(c, query("1", "c=lookup,t=team,d=300"))
 	h.line(r, `-(BUSY|ERR).*`)
-	if <-cut {
-		t.Error("the long answer was cut off")
+	if err := <-cut; err != nil {
+		t.Fatalf("the long answer was cut off: %v", err)
 	}
-	for deadline := time.Now().Add(time.Second); ; time.Sleep(10 * time.Millisecond) {
-		h.mu.Lock()
-		n := len(h.ended)
-		h.mu.Unlock()
-		if n > 0 {
-			break
-		} else if time.Now().After(deadline) {
-			t.Fatal("the connection was kept after the answer that nobody wants")
-		}
+	if <-kept {
+		t.Fatal("the connection was kept after the answer that nobody wants")
 	}
 }
 
@@ -799,8 +811,7 @@
 	value := strings.Repeat("v", 4<<20)
 	h := open(t, 10, func(c heard) {
 		c.answer("*3\r\n$" + strconv.Itoa(len(value)) + "\r\n" + value + "\r\n$-1\r\n$-1\r\n")
-	})
-	h.server.slowest = 2500 * time.Millisecond // less than the answer takes, more than the kernel waits a piece
+	}, func(s *Server) { s.slowest = 2500 * time.Millisecond }) // less than the answer takes, more than the kernel waits a piece
 	c, r := h.dial()
 	c.(*net.TCPConn).SetReadBuffer(16 << 10) // so that the kernel's buffers do not take all of it at once
 	c.SetDeadline(time.Now().Add(20 * time.Second))
--- a/internal/sock/sock.go
+++ b/internal/sock/sock.go
@@ -8,6 +8,7 @@
 package sock
 
 import (
+	"errors"
 	"io"
 	"net"
 	"net/netip"
@@ -17,6 +18,8 @@
 	"time"
 	"unsafe"
 
+	"golang.org/x/sys/unix"
+
 	"fawnplank/internal/reach"
 )
 
@@ -25,6 +28,14 @@
 	*net.TCPConn
 	raw syscall.RawConn
 
+	// Reading, where set, is called round each try to read: before says whether it may be made (false: the read ends as
+	// at the connection's end), after tells how many bytes it took. What its owner decides on the same lock as
+	// before and after has either seen a byte taken or lets none be taken any more.
+	Reading interface {
+		Before() bool
+		After(n int)
+	}
+
 	read  func(fd uintptr) bool
 	in    []byte
 	inN   int
@@ -34,6 +45,9 @@
 	look  func(fd uintptr)
 	there int // bytes that wait to be read; -1: the connection has ended
 
+	hung   func(fd uintptr) bool
+	waited bool // the last read met nothing at first
+
 	write  func(fd uintptr) bool
 	out    [6]syscall.Iovec
 	parts  int
@@ -48,7 +62,7 @@
 		return nil, err
 	}
 	c := &Conn{TCPConn: nc, raw: raw}
-	c.read, c.write, c.look = c.tryRead, c.tryWrite, c.tryLook
+	c.read, c.write, c.look, c.hung = c.tryRead, c.tryWrite, c.tryLook, hungUp
 	return c, nil
 }
 
@@ -78,7 +92,15 @@
 	return c, err
 }
 
-func (c *Conn) tryRead(fd uintptr) bool {
+func (c *Conn) tryRead(fd uintptr) (done bool) {
+	if c.Reading != nil {
+		if !c.Reading.Before() {
+			c.inN, c.inErr = 0, 0
+			return true
+		}
+		defer func() { c.Reading.After(max(c.inN, 0)) }()
+	}
+	c.inN = 0
 	for {
 		n, _, errno := syscall.RawSyscall(syscall.SYS_READ, fd, uintptr(unsafe.Pointer(&c.in[0])),
 			uintptr(len(c.in)))
@@ -86,6 +108,7 @@
 		case syscall.EINTR:
 			continue
 		case syscall.EAGAIN:
+			c.waited = true
 			return false
 		}
 		c.taken.Store(true)
@@ -96,7 +119,7 @@
 
 // Read reads what is there, and waits if that is nothing.
 func (c *Conn) Read(b []byte) (int, error) {
-	c.in = b
+	c.in, c.waited = b, false
 	err := c.raw.Read(c.read)
 	c.in = nil
 	switch {
@@ -134,6 +157,25 @@
 	return c.there
 }
 
+// Waited tells whether the last read waited: else what it took may have lain there for long.
+func (c *Conn) Waited() bool { return c.waited }
+
+// hungUp tells whether the peer has closed the connection, or ended its sending, also behind bytes not read yet.
+func hungUp(fd uintptr) bool {
+	p := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+	n, err := unix.Poll(p, 0)
+	return err == nil && n > 0 && p[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+}
+
+// HungUp tells whether the peer has closed the connection or ended its sending. It does not wait.
+func (c *Conn) HungUp() (gone bool) {
+	return c.raw.Control(func(fd uintptr) { gone = hungUp(fd) }) != nil || gone
+}
+
+// AwaitHangUp waits, in a reader's place and without taking a byte, until the peer has closed the connection or ended
+// its sending: true; or until the deadline for reading: false.
+func (c *Conn) AwaitHangUp() bool { return !errors.Is(c.raw.Read(c.hung), os.ErrDeadlineExceeded) }
+
 // Settle says that all that was read belongs to what is over.
 func (c *Conn) Settle() { c.taken.Store(false) }
 
