A cold backend whose clock is ahead gets no burst: its age counts from zero

Need: the start that is stated (`since=`) may lie ahead of the doors' clocks. Cause: the shots' numbers were negative until then, and a negative remainder passes for a turn: every door with one of the numbers in between could send at once, the more the further ahead and the more doors there are. Change: `coldRoom` takes the age as zero until the stated start; the budget is then that of the start.

Known before and left: until the stated start such a backend gets little, from the few doors whose turn it is then. A start stated too early makes a cold one pass for warmer; nobody can tell that from here.

--- a/policy/cold_test.go
+++ b/policy/cold_test.go
@@ -510,8 +510,17 @@
 		s.in(coldAt, s.third)
 		s.in(coldAt+s.warmUp/2, func() { s.demand = much })
 	}},
+	{"starts stated 30 s ahead", func(s *coldSite) {
+		s.in(coldAt, func() {
+			for n := range s.backends / 3 {
+				s.servers[BackendID(n+1)].ahead = 30 * sec
+			}
+			s.third()
+		})
+	}},
 }
 
+// Failure: a cold backend whose clock is ahead got a burst.
 // The rule on cold backends is for the sum of all doors: beyond the budget N only 2 x root N + 2 are chance.
 // COLD_SEEDS=n plays each kind with n seeds. Connections come up together with the even ones, so both ways are
 // played with every kind.
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -896,7 +896,7 @@
 	if g.firsts >= early/2 {
 		work = g.quick * 1.5
 	}
-	age, risen := float64(now-b.started), float64(max(now-b.started-g.terms.FallSpan, 0))
+	age, risen := float64(max(now-b.started, 0)), float64(max(now-b.started-g.terms.FallSpan, 0)) // clock skew
 	rate, doors := g.terms.FallMultiple/3*max(1/max(work, 1), g.can/float64(sec)), float64(max(g.terms.Doors, 1))
 	number := rate * (g.terms.ColdShare*age + (g.warmth(now, b)-g.terms.ColdShare)*risen/2)
 	first := float64((mix(uint64(b.id)) + uint64(doors) - uint64(g.terms.Me)) % uint64(doors))
