--- a/policy/cold_test.go
+++ b/policy/cold_test.go
@@ -107,7 +107,7 @@
 	done    bool
 }
 
-func (l *coldLife) Shoot(id TransactionID, b BackendID, expire int64) {
+func (l *coldLife) Shoot(id TransactionID, b BackendID, expire, _ int64) { // none is numbered
 	s, x := l.site, l.open[id]
 	shot := &coldShot{life: l, x: x, n: len(x.shots), to: s.servers[b], started: l.gate.backends[b].started, sent: s.now,
 		work: float64(s.work) * (0.5 + s.r.Float64())}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -654,7 +654,7 @@
 // how long after a failure one is asked for anew. Where lists are pushed, what the agent has counts at once,
 // a call that an outage silenced is never answered, and asking costs nobody anything: a third, a quarter and
 // a tenth of the drain's grace leave a third to the door. Elsewhere asking is work, but a change is due six
-// seconds after it could be had: a silent watch is opened anew by 5.2; a whole list keeps its place in a line.
+// seconds after it could be had: a silent watch is opened anew by 5.2; a whole list keeps its place in line.
 func (t Terms) Asking() (watch, late, whole, again int64) {
 	if t.ListOnRequest {
 		return min(max(2*sec, t.AskWithin), 4500*ms), 500 * ms, 3 * sec, 200 * ms
