--- a/cmd/fawnplank/main.go
+++ b/cmd/fawnplank/main.go
@@ -101,10 +101,13 @@
 	debug.SetMemoryLimit(start.MemoryBytes * 3 / 4)
 	debug.SetGCPercent(50)
 
-	// Descriptors: some for the listener, discovery, the counter's connections and probes; the rest in halves,
-	// so that neither clients nor backends starve the other.
-	const own = 48
-	part := (start.Sockets - own) / 2
+	// Descriptors: some for the program itself, the listener, discovery and the counter's connections, old and new,
+	// and for calls at the management address; the rest in halves, so that neither clients nor backends starve the other.
+	own, calls := 48, 0
+	if start.Mgmt != "" {
+		calls = admin.Calls(start.Sockets)
+	}
+	part := (start.Sockets - own - calls) / 2
 
 	f, figures := facade.New(), metrics.New(classes(start))
 	pool := backend.New(part, time.Duration(start.ConnectTimeout), time.Duration(start.IdleConnection), f.Probed)
@@ -167,7 +170,7 @@
 	go func() { served <- server.Serve(listener) }()
 	d := &door{server: server, figures: figures}
 	if start.Mgmt != "" {
-		m, err := admin.New(start.Mgmt, d)
+		m, err := admin.New(start.Mgmt, d, calls)
 		if err != nil {
 			return fmt.Errorf("configuration: mgmt: %w", err)
 		}
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -33,18 +33,21 @@
 	// writeTime bounds writing an answer: what is left of the second.
 	writeTime = 400 * time.Millisecond
 	// mostOpen is how many calls are open at once; a further one waits at most a head's time for a place. Far
-	// more than the operators' callers, few enough not to take the clients' descriptors.
+	// more than the operators' callers, and an eighth of the descriptors at most.
 	mostOpen = 32
 )
 
+// Calls is how many calls are open at once under a limit of descriptors: the owner sets so many aside.
+func Calls(sockets int) int { return min(mostOpen, sockets/8) }
+
 // Server serves the management address.
 type Server struct {
 	http *http.Server
 	l    net.Listener
 }
 
-// New listens on the address; Serve serves it.
-func New(address string, d Door) (*Server, error) {
+// New listens on the address for so many calls at once; Serve serves it.
+func New(address string, d Door, calls int) (*Server, error) {
 	l, err := net.Listen("tcp4", address)
 	if err != nil {
 		return nil, err
@@ -69,7 +72,7 @@
 		ErrorLog: log.New(logs.For("admin").WriterLevel(logrus.DebugLevel), "", 0)}
 	s.SetKeepAlivesEnabled(false)
 	// The wrapped connections hide net.TCPConn's ReadFrom, by which net/http could splice or send a file.
-	return &Server{http: s, l: netutil.LimitListener(l, mostOpen)}, nil
+	return &Server{http: s, l: netutil.LimitListener(l, calls)}, nil
 }
 
 // Address tells where it listens.
--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -20,7 +20,7 @@
 
 func serve(t *testing.T) (*Server, *door) {
 	d := &door{}
-	s, err := New("127.0.0.1:0", d)
+	s, err := New("127.0.0.1:0", d, mostOpen)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -1,12 +1,16 @@
 package discovery
 
 import (
+	"cmp"
 	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"os"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -287,3 +291,51 @@
 		t.Error("not asked again within four seconds")
 	}
 }
+
+// hanging is an address at which connections never come up: a listener whose queue is full.
+func hanging(t *testing.T) (port int) {
+	t.Helper()
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { syscall.Close(fd) })
+	if err := cmp.Or(syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}), syscall.Listen(fd, 0)); err != nil {
+		t.Fatal(err)
+	}
+	at, err := syscall.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	port = at.(*syscall.SockaddrInet4).Port
+	for {
+		c, err := net.DialTimeout("tcp4", fmt.Sprintf("127.0.0.1:%d", port), 200*time.Millisecond)
+		if err != nil {
+			return port
+		}
+		t.Cleanup(func() { c.Close() })
+	}
+}
+
+// Failure: in an outage in which connections to discovery never come up each call left one waiting, for minutes, since the
+// transport dials on for calls to come: descriptors without end, while idle clients fill theirs.
+func TestAnOutageLeavesNoDialsBehind(t *testing.T) {
+	port := hanging(t)
+	e := &ear{told: make(chan told, 100), known: map[policy.BackendID]string{}}
+	start := &config.Start{Discovery: fmt.Sprintf("127.0.0.1:%d", port), Terms: policy.Terms{DrainGrace: 2e8}} // 0.1 s a call
+	c := New(e, e, start)
+	for range 12 {
+		c.Follow()
+		if got := e.next(t); got.how != policy.ListFailed {
+			t.Fatalf("%+v", got)
+		}
+	}
+	table, err := os.ReadFile("/proc/net/tcp")
+	if err != nil {
+		t.Skip("no table of connections: ", err)
+	}
+	waiting := strings.Count(string(table), fmt.Sprintf(" 0100007F:%04X 02 ", port)) // peer, and its connection not up
+	if waiting > 2 {
+		t.Errorf("after 12 calls %d connections wait to come up", waiting)
+	}
+}
