A cold backend's budget follows its size where it is said to be smaller than the mean

Need: the operators reckon a cold backend's capacity by what a warm one of its size answers a second. Cause: `coldRoom` gave each what one of the mean size bears, so a small one among large ones fell past its bound. Change: the budget is taken times its size against the mean of those ready (as far as they are warm; the most of that lately, fading like the most answers that it is set against), and never more than the mean's.

Known: where all sizes are restated smaller at once, the mean fades over some two minutes, and so cold ones get less.

--- a/policy/cold_test.go
+++ b/policy/cold_test.go
@@ -518,9 +518,24 @@
 			s.third()
 		})
 	}},
+	{"sizes of 1/4, 1 and 4", func(s *coldSite) {
+		for n, id := range s.ids {
+			s.servers[id].size = []float64{0.25, 1, 4}[n%3]
+		}
+		s.in(coldAt, s.third)
+	}},
+	{"sizes of 4, then 1/2", func(s *coldSite) {
+		for n, id := range s.ids {
+			s.servers[id].size = 4
+			if n%2 == 0 {
+				s.in(coldAt, func() { s.replace(id, 0.5) })
+			}
+		}
+		s.demand *= 4
+	}},
 }
 
-// Failure: a cold backend whose clock is ahead got a burst.
+// Failure: a cold backend whose clock is ahead got a burst, and one that is said to be small as much as a usual one.
 // The rule on cold backends is for the sum of all doors: beyond the budget N only 2 x root N + 2 are chance.
 // COLD_SEEDS=n plays each kind with n seeds. Connections come up together with the even ones, so both ways are
 // played with every kind.
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -54,9 +54,9 @@
 // tick is the periodic work, every tenth of a second: rarer would let one order stand for too many shots.
 func (g *Gate) tick(now int64) {
 	g.pace, g.answers = g.pace+0.1*(g.answers*10-g.pace), 0 // over about a second
-	// What a backend is seen to answer, over ten seconds, and the most of that: a jam takes none of it away.
+	// What a backend is seen to answer, over ten seconds, and the most: a jam takes none away. So with its size.
 	g.seen += 0.01 * (g.pace*float64(max(g.terms.Doors, 1))/max(g.whole, 1) - g.seen)
-	g.can = max(g.can*0.999, g.seen)
+	g.can, g.size = max(g.can*0.999, g.seen), max(g.size*0.999, g.sized/max(g.whole, slop))
 	if g.firsts >= early/2 {
 		// Falls with a quicker fleet in a second, and rises with a slower one in about a minute; in two seconds
 		// while fewer are out than one a backend and none is full: it is slow of itself then, cold, say.
@@ -723,13 +723,13 @@
 // parts, the own first; then those not sent to for the longest, by size. Limits follow the answer time. A
 // cold one has its budget alone, and goes first: its turns are few, and work may be what warms it.
 func (g *Gate) rank(now int64) {
-	g.ranked, g.whole = g.ranked[:0], 0
+	g.ranked, g.whole, g.sized = g.ranked[:0], 0, 0
 	for _, b := range g.listed {
 		if !b.ready {
 			continue
 		}
-		g.ranked, g.whole = append(g.ranked, b), g.whole+g.warmth(now, b)
-		usual := g.all.value
+		usual, warm := g.all.value, g.warmth(now, b)
+		g.ranked, g.whole, g.sized = append(g.ranked, b), g.whole+warm, g.sized+warm*b.size
 		if b.late = usual; !g.cold(now, b) {
 			b.late = b.pace.blend(usual, 3)
 		} else if g.firsts >= early/2 {
@@ -882,11 +882,11 @@
 }
 
 // coldRoom keeps the doors together within half the multiple of what a cold backend bears, since transactions
-// differ in work: a third for each span, of what a warm one does: one core's work, of half as much again as
-// the quiet answer time, or more as far as warm ones are seen to. Its shots are numbered from its start and
-// go to the doors in turn, one each, for half a span: the rest of the half is for that, since a door of a
-// large fleet seldom has something to send just then. So the sum holds for any number of doors without a word
-// between them. A door that has itself just started waits a span: its earlier life may have sent much.
+// differ in work: a third for each span, of what a warm one of its size does (the mean at most): one core's
+// work, of half as much again as the quiet answer time, or more as far as warm ones are seen to. Its shots
+// are numbered from its start and go to the doors in turn, one each, for half a span: the rest of the half is
+// for that, since a door of many seldom has something to send just then. So the sum holds for any number of
+// doors without a word between them. A door just started waits a span: its earlier life may have sent much.
 func (t *Transaction) coldRoom(now int64, b *backend) bool {
 	g := t.gate
 	if !g.cold(now, b) {
@@ -896,11 +896,11 @@
 	if g.firsts >= early/2 {
 		work = g.quick * 1.5
 	}
-	age, risen := float64(max(now-b.started, 0)), float64(max(now-b.started-g.terms.FallSpan, 0)) // clock skew
+	share, warm, risen := g.terms.ColdShare, g.warmth(now, b), float64(max(now-b.started-g.terms.FallSpan, 0))
 	rate, doors := g.terms.FallMultiple/3*max(1/max(work, 1), g.can/float64(sec)), float64(max(g.terms.Doors, 1))
-	number := rate * (g.terms.ColdShare*age + (g.warmth(now, b)-g.terms.ColdShare)*risen/2)
-	first := float64((mix(uint64(b.id)) + uint64(doors) - uint64(g.terms.Me)) % uint64(doors))
-	since, pace := math.Mod(math.Floor(number)+first, doors), rate*g.warmth(now, b)
+	rate *= min(b.size/g.size, 1)
+	number, pace := rate*(share*float64(max(now-b.started, 0))+(warm-share)*risen/2), rate*warm
+	since := float64((mix(uint64(b.id)) + uint64(doors) - uint64(g.terms.Me) + uint64(number)) % uint64(doors))
 	// Three quarters of the time between a door's turns: a change in what is measured shifts the numbers.
 	return now-g.born >= g.terms.FallSpan && since < max(1, pace*float64(g.terms.FallSpan)/2) &&
 		(b.turn == 0 || float64(now-b.turn)*pace >= 0.75*doors)
--- a/policy/state.go
+++ b/policy/state.go
@@ -84,7 +84,8 @@
 	quick         float64 // the usual answer time of quiet moments; 0: unknown
 	out, flying   int     // shots out that are not overdue; all of them
 	answers, pace float64 // since the last tick; a second
-	whole         float64 // the backends that are ready, a cold one as far as it is warm
+	whole, sized  float64 // the backends that are ready, a cold one as far as it is warm; and by their sizes
+	size          float64 // of a backend, on average; the most of that lately
 	seen, can     float64 // answers of a backend a second, of all doors alike; the most of them lately
 	sent          int     // shots in this door's life
 	firsts        float64 // of the first ones, answered
