--- a/cmd/fawnplank/main.go
+++ b/cmd/fawnplank/main.go
@@ -213,7 +213,7 @@
 			} else if !stopping {
 				stopping = true
 				d.ready.Store(false)
-				go names.close() // a process that takes over has the journal from here on
+				go names.close()     // a process that takes over has the journal from here on
 				terms := start.Terms // as they are now: a SIGHUP behind the SIGTERM puts others in start's place
 				go func() {
 					stop(server, listener, terms)
