--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -39,6 +39,9 @@
 	// roomWait is how long a reader waits for room for a large answer: the longest deadline of the operators'
 	// page. Meanwhile that backend's connection is not read on.
 	roomWait = 3 * time.Second
+	// mostOrphaned is how long the rest of an answer that nobody wants is read in all: an answer that never ends, a few
+	// bytes at a time, would keep its connection for good. Ten of the longest waits for a piece.
+	mostOrphaned = 10 * roomWait
 	// mostLate is how late a second answer to one shot may come: some milliseconds, as the operators say. The next
 	// shot on that connection would take it for its own; younger at rest, the connection is not used.
 	mostLate = 10 * time.Millisecond
@@ -124,6 +127,7 @@
 	// large is what it holds of the room.
 	large  int64
 	orphan atomic.Bool // its shot was given up while the answer came: what comes is dropped
+	until  time.Time   // then, by when all of it has to have come; set before orphan
 }
 
 // New makes a pool of at most so many connections. idle is the time after which backends close a connection;
@@ -283,7 +287,10 @@
 	p := c.pool
 	p.mu.Lock()
 	switch {
-	case c.down:
+	case c.down || c.peer.gone:
+		// Guards against a shot that goes where its backend no longer is: it was forgotten, or listens elsewhere, and
+		// another may be at the address by now.
+		c.close()
 		p.mu.Unlock()
 		s.Report(nil, 0, &facade.Fault{Came: facade.Dialling, Err: net.ErrClosed})
 		return
@@ -339,6 +346,7 @@
 		// longer, and a backend that answers nothing keeps it roomWait.
 		// Its sending ends at once: that gives the shot up, and another may go out for the transaction.
 		c.shot = nil
+		c.until = time.Now().Add(mostOrphaned)
 		c.orphan.Store(true)
 		c.nc.CloseWrite()
 		c.nc.SetReadDeadline(time.Now().Add(roomWait))
@@ -409,7 +417,11 @@
 			return
 		}
 		if c.orphan.Load() {
-			c.nc.SetReadDeadline(time.Now().Add(roomWait))
+			next := time.Now().Add(roomWait)
+			if c.until.Before(next) {
+				next = c.until
+			}
+			c.nc.SetReadDeadline(next)
 		}
 		size, value, units, err := parse(buf[:held])
 		switch {
