--- a/cmd/fawnplank/metrics.go
+++ b/cmd/fawnplank/metrics.go
@@ -4,6 +4,7 @@
 	"fawnplank/internal/config"
 	"fawnplank/internal/counter"
 	"fawnplank/internal/dispatch"
+	"fawnplank/internal/frontend"
 	"fawnplank/internal/metrics"
 	"fawnplank/policy"
 )
@@ -65,6 +66,20 @@
 	}
 }
 
+// frontendGauges returns the metrics of clients' connections.
+func frontendGauges(server *frontend.Server) map[string]metrics.Gauge {
+	return map[string]metrics.Gauge{
+		"client_connections": {
+			Help:  "open connections of clients",
+			Value: func() float64 { return float64(server.Connections()) },
+		},
+		"draining": {
+			Help:  "1 while the instance drains",
+			Value: func() float64 { return gaugeBool(server.Draining()) },
+		},
+	}
+}
+
 func gaugeBool(value bool) float64 {
 	if value {
 		return 1
--- a/cmd/fawnplank/serve.go
+++ b/cmd/fawnplank/serve.go
@@ -8,6 +8,7 @@
 	"os"
 	"runtime"
 	"runtime/debug"
+	"strings"
 	"sync/atomic"
 	"syscall"
 
@@ -129,6 +130,7 @@
 	if err != nil {
 		return err
 	}
+	g.logConfiguration()
 	// Everything runs on one core; more threads would only alternate on it.
 	runtime.GOMAXPROCS(1)
 	// The collector stays below the memory limit, with a quarter left for memory that it does not see.
@@ -137,6 +139,16 @@
 	return nil
 }
 
+// logConfiguration logs what an operator may not expect of the configuration.
+func (g *gateway) logConfiguration() {
+	if unknown := g.configuration.UnknownKeys; len(unknown) > 0 {
+		logging.For("config").WithField("keys", strings.Join(unknown, ", ")).Warn("unknown keys ignored")
+	}
+	if g.configuration.ManagementAddress == "" {
+		logging.For("config").Info("no management address: drain calls cannot arrive")
+	}
+}
+
 func (g *gateway) loadConfiguration(overlay config.Overlay) (*config.Config, *config.Operator, error) {
 	return loadConfiguration(g.options.ConfigFile, g.options.OperatorFile, overlay)
 }
@@ -306,6 +318,7 @@
 		options.Usage = g.accounts.service
 	}
 	g.server = frontend.New(options)
+	g.metrics.AddGauges(frontendGauges(g.server))
 }
 
 // Run serves clients and the management address until a signal, or the end of ctx, has shut the gateway down.
--- a/cmd/fawnplank/shutdown.go
+++ b/cmd/fawnplank/shutdown.go
@@ -42,7 +42,7 @@
 // drainClients continues to serve while new connections may still arrive. It then ends connections between
 // requests, and returns once all requests are answered or the longest deadline has passed.
 func drainClients(server *frontend.Server, listener net.Listener, settings policy.Settings) {
-	logging.For("frontend").Info("stopping")
+	logging.For("frontend").WithField("connections", server.Connections()).Info("stopping")
 	time.Sleep(arrivalGrace)
 	// The kernel has already accepted the connections waiting on the listener, so they are served before the
 	// listener closes.
@@ -54,7 +54,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), longestDeadline(settings))
 	defer cancel()
 	_ = server.Shutdown(ctx) // fails if time is up for every request: then there is nothing left to wait for
-	logging.For("frontend").Info("stopped")
+	logging.For("frontend").WithField("connections", server.Connections()).Info("stopped")
 }
 
 func longestDeadline(settings policy.Settings) time.Duration {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -49,7 +49,9 @@
 
 	IdleTimeout    time.Duration // after which a backend closes an idle connection
 	ConnectTimeout time.Duration // for a connection to a backend or the counter
-	MaxUnits       float64       // units that one request may count at most
+	// UnknownKeys are the keys of the file that have no meaning, in order: a misspelled key has no effect.
+	UnknownKeys []string
+	MaxUnits    float64 // units that one request may count at most
 }
 
 // Defaults for what the configuration may leave out. The limits are the example figures of the deployment
@@ -65,12 +67,15 @@
 // minSockets covers the program's own descriptors, plus a few for clients and a few for backends.
 const minSockets = 64
 
+// managementKey names the management address. Deployments that are migrated do not have it.
+const managementKey = "mgmt"
+
 // environmentNames lists the environment variables that replace keys that a configuration leaves out.
 var environmentNames = map[string]string{
-	"name":      "GW_NAME",
-	"listen":    "GW_LISTEN",
-	"discovery": "GW_DISCOVERY",
-	"mgmt":      "GW_MGMT",
+	"name":        "GW_NAME",
+	"listen":      "GW_LISTEN",
+	"discovery":   "GW_DISCOVERY",
+	managementKey: "GW_MGMT",
 }
 
 // listenerNames lists the environment variables that may name the listener handed down. The first one that is
@@ -143,6 +148,7 @@
 		}
 	}
 	c := readConfig(top)
+	c.UnknownKeys = top.unknownKeys()
 	c.KnownEndpoints = raw["known"]
 	return c, top.err()
 }
@@ -155,7 +161,7 @@
 		Name:              required[string](top, "name"),
 		Listen:            top.requiredAddress("listen"),
 		Discovery:         top.requiredAddress("discovery"),
-		ManagementAddress: top.optionalAddress("mgmt"),
+		ManagementAddress: top.optionalAddress(managementKey),
 		ListenerFD:        -1,
 		Settings:          readSettings(settings),
 		MemoryBytes:       int64(clampToCount(limits.positiveOr("memory_mb", defaultMemoryMB))) << 20,
--- a/internal/config/decode.go
+++ b/internal/config/decode.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"net"
+	"slices"
 	"strconv"
 	"time"
 )
@@ -43,6 +44,18 @@
 	return ok
 }
 
+// unknownKeys returns the keys at the top of a configuration that have no meaning, in alphabetical order.
+func (o object) unknownKeys() []string {
+	var unknown []string
+	for key := range o.fields {
+		if key != managementKey && !isKnownKey("", key) {
+			unknown = append(unknown, key)
+		}
+	}
+	slices.Sort(unknown)
+	return unknown
+}
+
 // failf records a fault of a key, unless the document already has a fault.
 func (o object) failf(key, format string, args ...any) {
 	if *o.fault == nil {
--- a/internal/frontend/backpressure.go
+++ b/internal/frontend/backpressure.go
@@ -22,7 +22,7 @@
 	defer c.mu.Unlock()
 	if c.isFull() {
 		c.mu.Unlock() // awaitWatched takes it
-		c.awaitWatched(c.isFull)
+		c.awaitWatched(readerAwaitsCapacity, c.isFull)
 		c.mu.Lock()
 	}
 	if c.peer.gone() || c.isInputClosed() {
@@ -48,13 +48,13 @@
 	pending := c.hasPending()
 	c.mu.Unlock()
 	if pending {
-		c.awaitWatched(c.hasPending)
+		c.awaitWatched(readerAwaitsResponses, c.hasPending)
 	}
 }
 
 // awaitWatched waits while condition holds and the client has not gone. It calls condition with mu held.
-func (c *connection) awaitWatched(condition func() bool) {
-	c.waitWatched(func() {
+func (c *connection) awaitWatched(activity readerActivity, condition func() bool) {
+	c.waitWatched(activity, func() {
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		for !c.peer.gone() && condition() {
@@ -67,7 +67,8 @@
 // While nobody reads, a hang-up behind unread bytes would go unnoticed, and open requests would be sent on
 // for nobody. This prevents attempts from being started for clients that sent more than is read at once and
 // then left.
-func (c *connection) waitWatched(wait func()) {
+func (c *connection) waitWatched(activity readerActivity, wait func()) {
+	defer c.activity.enter(activity)()
 	var over atomic.Bool
 	watchEnded := make(chan struct{})
 	go func() {
@@ -115,7 +116,7 @@
 func (c *connection) acquireBudget(bytes int) bool {
 	var acquired int64
 	var ok bool
-	c.waitWatched(func() {
+	c.waitWatched(readerAwaitsMemory, func() {
 		acquired, ok = c.server.budget.Acquire(int64(bytes), time.Now().Add(commandTimeout))
 	})
 	if !ok {
--- a/internal/frontend/connection.go
+++ b/internal/frontend/connection.go
@@ -116,6 +116,9 @@
 	inputMu sync.Mutex
 	input   inputState
 
+	activity   activityTracker // of the reader
+	heldLogged atomic.Bool     // the log says that the connection outlasts a drain
+
 	validated atomic.Bool // the client has sent a valid command
 	draining  atomic.Bool // the connection ends after the responses that are due
 	// awaitingFromAgeNanos is the age of the connection at which the wait for a complete command began; 0 if no
@@ -233,6 +236,7 @@
 	if !c.validated.Load() {
 		return // nothing was answered
 	}
+	defer c.activity.enter(readerLingers)()
 	for time.Now().Before(until) {
 		c.setReadDeadline(until)
 		if c.conn.AwaitHangUp() {
--- a/internal/frontend/reader.go
+++ b/internal/frontend/reader.go
@@ -109,6 +109,7 @@
 // handleCommands handles the complete commands at the beginning of input and returns the bytes after them. It
 // returns false if the connection ends.
 func (c *connection) handleCommands(input []byte) (rest []byte, ok bool) {
+	defer c.activity.enter(readerHandles)()
 	r := &c.reader
 	for rest = input; len(rest) > 0; {
 		size, words, err := resp.Command(rest, r.words)
@@ -149,7 +150,7 @@
 // client gains nothing by repeating the same command at once.
 func (c *connection) pauseAfterFault() {
 	pause := min(time.Duration(c.reader.invalidCommands)*faultPauseStep, maxFaultPause)
-	c.waitWatched(func() { c.sleep(pause) })
+	c.waitWatched(readerPauses, func() { c.sleep(pause) })
 }
 
 // noteProgress records since when the rest of a command is awaited. A command that is larger than any head is
@@ -206,6 +207,7 @@
 	c.mu.Lock()
 	c.peer = c.peer.reject()
 	c.mu.Unlock()
+	defer c.activity.enter(readerRejects)()
 	c.closeWrite()
 	c.setReadDeadline(time.Now().Add(rejectLinger))
 	buffer := make([]byte, minBufferBytes)
--- a/internal/frontend/request.go
+++ b/internal/frontend/request.go
@@ -37,6 +37,7 @@
 // pendingCommand is a command that has no response yet. Commands that need no request are answered at once.
 type pendingCommand struct {
 	connection    *connection
+	isRequest     bool              // false if the command is answered at once
 	request       *dispatch.Request // nil if the command is answered at once
 	class         policy.ClassID
 	id            string
@@ -98,7 +99,7 @@
 // does neither and returns no error, since nobody waits for a response.
 func (c *connection) submit(head *requestHead, raw []byte) error {
 	p := &pendingCommand{
-		connection: c, class: head.class, id: string(head.id), raw: raw,
+		connection: c, isRequest: true, class: head.class, id: string(head.id), raw: raw,
 		fields: spanOf(raw, head.fields), remaining: spanOf(raw, head.remainingText),
 	}
 	if !c.server.claimRequestID(p.id) {
--- a/internal/frontend/shutdown.go
+++ b/internal/frontend/shutdown.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"fawnplank/internal/logging"
 )
 
 // drainDelay is how long a draining server continues to serve its connections before it closes them as they
@@ -16,17 +18,23 @@
 
 // Drain begins a drain: from now on PING is answered with an error, and after drainDelay connections are
 // closed between requests. A further call has no effect: drainDelay counts from the first.
-func (s *Server) Drain() { s.drainingSinceNanos.CompareAndSwap(0, time.Now().UnixNano()) }
+func (s *Server) Drain() {
+	if s.drainingSinceNanos.CompareAndSwap(0, time.Now().UnixNano()) {
+		logging.For(logComponent).WithField("connections", s.Connections()).Info("draining")
+	}
+}
 
 // Resume ends a drain: PING is answered with PONG again, and connections that are not closed yet stay open.
 func (s *Server) Resume() {
 	if s.drainingSinceNanos.Swap(0) == 0 || s.closing.Load() {
 		return
 	}
+	logging.For(logComponent).WithField("connections", s.Connections()).Info("drain ended")
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.connections {
 		c.draining.Store(false)
+		c.heldLogged.Store(false)
 	}
 }
 
--- a/internal/frontend/sweep.go
+++ b/internal/frontend/sweep.go
@@ -24,6 +24,7 @@
 func (s *Server) sweep(now time.Time) {
 	if since := s.drainingSinceNanos.Load(); since != 0 && now.UnixNano()-since > int64(drainDelay) {
 		s.shutDownConnections()
+		s.logHeldConnections(time.Duration(now.UnixNano() - since))
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
