--- /dev/null
+++ b/cmd/fawnplank/drain_test.go
@@ -0,0 +1,238 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"fawnplank/internal/testutil"
+)
+
+const (
+	// drainLimit is the time after a drain call at which a connection that is still held counts as lost. The
+	// margin is for the test's own calls on a busy machine.
+	drainLimit       = 4 * time.Second
+	drainLimitMargin = 300 * time.Millisecond
+	// drainDeadlineMs is the deadline of the class in these tests: the longest of the terms.
+	drainDeadlineMs = 3000
+	drainFields     = "c=lookup,t=team,d=3000"
+)
+
+// drainGateway is a gateway's process with a management address, before a backend that never answers.
+type drainGateway struct {
+	*gatewayProcess
+	management string
+	attempts   atomic.Int64 // that have reached the backend whole
+}
+
+// startDrainGateway starts a gateway with additions to its environment.
+func startDrainGateway(t *testing.T, environment ...string) *drainGateway {
+	t.Helper()
+	g := &drainGateway{management: freeAddress(t)}
+	backend := testutil.ServeCommands(t, func(net.Conn) { g.attempts.Add(1) })
+	g.gatewayProcess = &gatewayProcess{
+		address: freeAddress(t),
+		file:    filepath.Join(t.TempDir(), "config.json"),
+		ended:   make(chan error, 1),
+	}
+	text := fmt.Sprintf(configuration, g.address, silentDiscovery(t), backend)
+	text = strings.Replace(text, `"name":"n0"`, fmt.Sprintf(`"name":"n0","mgmt":%q`, g.management), 1)
+	text = strings.Replace(text, `"deadline-ms":1500`, fmt.Sprintf(`"deadline-ms":%d`, drainDeadlineMs), 1)
+	writeFile(t, g.file, text)
+	g.Cmd = exec.CommandContext(t.Context(), os.Args[0], "serve", "-c", g.file)
+	g.Env = append(append(os.Environ(), "FAWNPLANK_AS_MAIN=1", "GORACE=atexit_sleep_ms=0"), environment...)
+	g.Stderr = g.gatewayProcess
+	if err := g.Start(); err != nil {
+		t.Fatal(err)
+	}
+	go func() { g.ended <- g.Wait() }()
+	t.Cleanup(func() { kill(g.Cmd) })
+	testutil.Eventually(t, "ready", func() bool { return g.ready(t) })
+	return g
+}
+
+// call makes a call at the management address and returns its answer.
+func (g *drainGateway) call(t *testing.T, method, path string) string {
+	t.Helper()
+	request, err := http.NewRequestWithContext(t.Context(), method, "http://"+g.management+path, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		t.Fatalf("%s: %v", path, err)
+	}
+	defer hangUp(response.Body)
+	body, err := io.ReadAll(response.Body)
+	if err != nil || response.StatusCode != http.StatusOK {
+		t.Errorf("%s: %s, %v", path, response.Status, err)
+	}
+	return string(body)
+}
+
+var clientConnections = regexp.MustCompile(`(?m)^gw_client_connections (\d+)$`)
+
+// connections returns how many client connections the gateway holds, as its metrics say.
+func (g *drainGateway) connections(t *testing.T) int {
+	t.Helper()
+	found := clientConnections.FindStringSubmatch(g.call(t, http.MethodGet, "/admin/stats"))
+	if found == nil {
+		t.Fatal("the metrics lack the connections of clients")
+	}
+	count, err := strconv.Atoi(found[1])
+	if err != nil {
+		t.Fatal(err)
+	}
+	return count
+}
+
+// checkDrained waits until the gateway holds no client connection, and fails the test if it still does when
+// the limit is near.
+func (g *drainGateway) checkDrained(t *testing.T, began time.Time) {
+	t.Helper()
+	for g.connections(t) > 0 {
+		if age := time.Since(began); age > drainLimit-drainLimitMargin {
+			t.Fatalf("%d connections are held %v after the drain", g.connections(t), age)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	t.Logf("the last connection ended after %v", time.Since(began))
+}
+
+// drain starts a drain and returns when it began.
+func (g *drainGateway) drain(t *testing.T) time.Time {
+	t.Helper()
+	g.call(t, http.MethodPost, "/admin/quiesce")
+	return time.Now()
+}
+
+// TestDrain_EndsEveryConnection: 4 s after it was told to drain an instance holds no connection, whatever its
+// clients do meanwhile, and whatever becomes of the wall clock.
+func TestDrain_EndsEveryConnection(t *testing.T) {
+	for name, test := range map[string]func(t *testing.T){
+		"wall clock an hour back":    func(t *testing.T) { testDrainWithClockStep(t, -time.Hour) },
+		"wall clock an hour forward": func(t *testing.T) { testDrainWithClockStep(t, time.Hour) },
+		"invalid commands":           testDrainWithInvalidCommands,
+		"half a command":             testDrainWithHalfCommands,
+		"nothing is read":            testDrainWithClientThatNeverReads,
+		"busy connection goes on":    testDrainWithBusyConnection,
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			test(t)
+		})
+	}
+}
+
+func testDrainWithClockStep(t *testing.T, step time.Duration) {
+	clock := newWallClock(t)
+	g := startDrainGateway(t, clock.environment()...)
+	idle := dial(t, g.address)
+	send(idle, wirePing)
+	began := g.drain(t)
+	clock.set(t, step)
+	served := time.Now()
+	if _, err := io.ReadAll(idle); err != nil {
+		t.Errorf("the connection has not ended: %v", err)
+	}
+	if open := time.Since(served); open < time.Second/2 {
+		t.Errorf("the connection was served for only %v", open)
+	}
+	g.checkDrained(t, began)
+	g.call(t, http.MethodPost, "/admin/resume")
+	stepped := time.Now().Add(step).UTC().Format(`time="2006-01-02T15`)
+	testutil.Eventually(t, "the step shows in the log", func() bool {
+		return g.logged(stepped)
+	})
+}
+
+// testDrainWithInvalidCommands: each invalid command makes the reader pause, and many are read at once.
+func testDrainWithInvalidCommands(t *testing.T) {
+	g := startDrainGateway(t)
+	client := dial(t, g.address)
+	setDeadline(client, 2*drainLimit)
+	go discard(client)
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		for {
+			if _, err := io.WriteString(client, strings.Repeat(respWords("NONE"), 300)); err != nil {
+				return
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
+	}()
+	time.Sleep(500 * time.Millisecond)
+	g.checkDrained(t, g.drain(t))
+	hangUp(client)
+	<-ended
+}
+
+// testDrainWithHalfCommands: a client stops in the middle of a request, another goes on byte by byte, and a
+// third sends a large value slowly.
+func testDrainWithHalfCommands(t *testing.T) {
+	g := startDrainGateway(t)
+	whole := request("1", drainFields)
+	stopped := dial(t, g.address)
+	send(stopped, whole[:len(whole)-5])
+	large := "*5\r\n$9\r\nSVC.QUERY\r\n$16\r\n0000000000000005\r\n$1\r\n2\r\n$22\r\n" + drainFields +
+		"\r\n$200000\r\n" + strings.Repeat("x", 8000)
+	for _, text := range []string{whole[:len(whole)-1], large} {
+		client := dial(t, g.address)
+		go func() {
+			for n := range len(text) {
+				if _, err := io.WriteString(client, text[n:n+1]); err != nil {
+					return
+				}
+				time.Sleep(time.Millisecond)
+			}
+		}()
+	}
+	time.Sleep(300 * time.Millisecond)
+	g.checkDrained(t, g.drain(t))
+}
+
+// testDrainWithClientThatNeverReads: the gateway's writes wait for a client that reads nothing.
+func testDrainWithClientThatNeverReads(t *testing.T) {
+	g := startDrainGateway(t)
+	client := dial(t, g.address)
+	setDeadline(client, 2*drainLimit)
+	go func() {
+		// It is cut off in the end.
+		_, _ = io.WriteString(client, strings.Repeat(respWords("PING"), 2_000_000))
+	}()
+	time.Sleep(time.Second)
+	g.checkDrained(t, g.drain(t))
+}
+
+// testDrainWithBusyConnection: a client sends further requests on a connection on which one is open. They
+// must not be read once the drain ends connections: each would hold the connection for a deadline more.
+func testDrainWithBusyConnection(t *testing.T) {
+	g := startDrainGateway(t)
+	client := dial(t, g.address)
+	setDeadline(client, 2*drainLimit)
+	send(client, request("1", drainFields))
+	testutil.Eventually(t, "the attempt is out", func() bool { return g.attempts.Load() == 1 })
+	began := g.drain(t)
+	time.Sleep(1600 * time.Millisecond) // idle connections have ended
+	send(client, request("2", drainFields))
+	reader := bufio.NewReader(client)
+	if line, err := reader.ReadString('\n'); !strings.HasPrefix(line, "-") {
+		t.Errorf("the open request: %q, %v", line, err)
+	}
+	if line, _ := reader.ReadString('\n'); line != "" {
+		t.Errorf("the request behind it was read: %q", line)
+	}
+	g.checkDrained(t, began)
+}
