frontend, cmd: every wait of a connection heeds its end; ends no longer read the wall clock

Cause: a drain or shutdown was looked at in one place, before a read. Pauses after invalid commands, reads beside an open request, writes to a client that reads nothing went on without it; the age of a drain was a difference of the wall clock; a queue full of SIGHUP lost SIGTERM; the process ended before the deadline of the request read last. TestRace_RequestAfterShutdownNotRead asked that one more read happen after the shutdown; it now asks that none does, which is stricter. TestShutdown_LeavesNothingUnanswered expected no end of the connection behind the last response, by an inverted condition; it now asks for EOF.

--- a/cmd/fawnplank/command_serve.go
+++ b/cmd/fawnplank/command_serve.go
@@ -9,9 +9,9 @@
 	"github.com/spf13/cobra"
 )
 
-// pendingSignals is how many signals may wait while one is being handled. A reload reads every setting again,
-// so more than a few waiting signals would only repeat it.
-const pendingSignals = 8
+// pendingSignals is how many signals of a kind may wait to be handled. A reload reads every setting again, so
+// further ones would only repeat it.
+const pendingSignals = 1
 
 func serveCommand(globals *globalFlags) *cobra.Command {
 	var replica replicaFlags
@@ -36,8 +36,10 @@
 	// Subscribe before anything is read, because a SIGHUP would otherwise end the process. The subscription is
 	// never undone, because a signal during the last steps of a shutdown would end the process with another exit
 	// status.
-	signals := make(chan os.Signal, pendingSignals)
-	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
+	reloads := make(chan os.Signal, pendingSignals)
+	signal.Notify(reloads, syscall.SIGHUP)
+	terminations := make(chan os.Signal, pendingSignals)
+	signal.Notify(terminations, syscall.SIGTERM, os.Interrupt)
 	g, err := newGateway(ctx, gatewayOptions{
 		ConfigFile:   globals.config,
 		OperatorFile: globals.operator,
@@ -45,7 +47,8 @@
 		LogFormat:    globals.logFormat,
 		Replica:      replica,
 		TLS:          globals.tls,
-		Signals:      signals,
+		Reloads:      reloads,
+		Terminations: terminations,
 	})
 	if err != nil {
 		return err
--- a/cmd/fawnplank/drain_test.go
+++ b/cmd/fawnplank/drain_test.go
@@ -136,6 +136,7 @@
 }
 
 func testDrainWithClockStep(t *testing.T, step time.Duration) {
+	t.Helper()
 	clock := newWallClock(t)
 	g := startDrainGateway(t, clock.environment()...)
 	idle := dial(t, g.address)
@@ -159,6 +160,7 @@
 
 // testDrainWithInvalidCommands: each invalid command makes the reader pause, and many are read at once.
 func testDrainWithInvalidCommands(t *testing.T) {
+	t.Helper()
 	g := startDrainGateway(t)
 	client := dial(t, g.address)
 	setDeadline(client, 2*drainLimit)
@@ -182,6 +184,7 @@
 // testDrainWithHalfCommands: a client stops in the middle of a request, another goes on byte by byte, and a
 // third sends a large value slowly.
 func testDrainWithHalfCommands(t *testing.T) {
+	t.Helper()
 	g := startDrainGateway(t)
 	whole := request("1", drainFields)
 	stopped := dial(t, g.address)
@@ -205,6 +208,7 @@
 
 // testDrainWithClientThatNeverReads: the gateway's writes wait for a client that reads nothing.
 func testDrainWithClientThatNeverReads(t *testing.T) {
+	t.Helper()
 	g := startDrainGateway(t)
 	client := dial(t, g.address)
 	setDeadline(client, 2*drainLimit)
@@ -219,6 +223,7 @@
 // testDrainWithBusyConnection: a client sends further requests on a connection on which one is open. They
 // must not be read once the drain ends connections: each would hold the connection for a deadline more.
 func testDrainWithBusyConnection(t *testing.T) {
+	t.Helper()
 	g := startDrainGateway(t)
 	client := dial(t, g.address)
 	setDeadline(client, 2*drainLimit)
--- a/cmd/fawnplank/metrics.go
+++ b/cmd/fawnplank/metrics.go
@@ -73,6 +73,14 @@
 			Help:  "open connections of clients",
 			Value: func() float64 { return float64(server.Connections()) },
 		},
+		"client_connections_accepted": {
+			Help:  "connections of clients accepted so far",
+			Value: func() float64 { return float64(server.Stats().Accepted) },
+		},
+		"client_connections_forced": {
+			Help:  "connections closed at a drain or shutdown because they did not end",
+			Value: func() float64 { return float64(server.Stats().ClosedByForce) },
+		},
 		"draining": {
 			Help:  "1 while the instance drains",
 			Value: func() float64 { return gaugeBool(server.Draining()) },
--- a/cmd/fawnplank/reload.go
+++ b/cmd/fawnplank/reload.go
@@ -9,15 +9,55 @@
 	"fawnplank/internal/logging"
 )
 
-// reload reads the configuration again and applies it as a whole. If the configuration is faulty, nothing
-// changes.
-func (g *gateway) reload() {
-	updated, err := g.readUpdatedConfiguration()
-	if err != nil {
-		logging.For("config").WithError(err).Error("configuration not reloaded")
+// reloadResult is a configuration that was read again, or why it could not be.
+type reloadResult struct {
+	updated *config.Config
+	err     error
+}
+
+// reloader reads the configuration in a goroutine of its own, one at a time: a read that waits for the disk
+// must not hold up a shutdown. Its methods are called by one goroutine.
+type reloader struct {
+	read    func() (*config.Config, error)
+	results chan reloadResult // one for each read
+	reading bool
+	again   bool // requested while reading
+}
+
+func newReloader(read func() (*config.Config, error)) *reloader {
+	return &reloader{read: read, results: make(chan reloadResult, 1)}
+}
+
+// request starts a read, at once or after the one under way, which may have missed the latest change.
+func (r *reloader) request() {
+	if r.reading {
+		r.again = true
+		return
+	}
+	r.reading = true
+	go func() {
+		updated, err := r.read()
+		r.results <- reloadResult{updated, err}
+	}()
+}
+
+// applied is called once the result of a read is applied. It starts the read that was requested meanwhile.
+func (r *reloader) applied() {
+	r.reading = false
+	if r.again {
+		r.again = false
+		r.request()
+	}
+}
+
+// applyReload applies a configuration that was read again as a whole. If it is faulty, nothing changes.
+func (g *gateway) applyReload(result reloadResult) {
+	if result.err != nil {
+		logging.For("config").WithError(result.err).Error("configuration not reloaded")
 		g.metrics.ConfigRejected()
 		return
 	}
+	updated := result.updated
 	merged := mergeReloadable(g.configuration, updated)
 	g.counter.SetAddress(merged.Counter)
 	g.discovery.SetAddress(merged.Discovery, merged.Settings)
--- a/cmd/fawnplank/serve.go
+++ b/cmd/fawnplank/serve.go
@@ -10,7 +10,6 @@
 	"runtime/debug"
 	"strings"
 	"sync/atomic"
-	"syscall"
 
 	"github.com/sirupsen/logrus"
 
@@ -49,10 +48,10 @@
 	LogFormat    string // if empty, the operator file's format applies
 	Replica      replicaFlags
 	TLS          tlsconfig.Files // of the replica
-	// Signals delivers SIGHUP, which triggers a reload, and the signals that shut the gateway down. It is
-	// subscribed before newGateway, because a SIGHUP would otherwise end the process. Edits in the store are
-	// queued on it as SIGHUP.
-	Signals chan os.Signal
+	// Reloads delivers SIGHUP, which triggers a reload, and Terminations the signals that shut the gateway down.
+	// They are apart so that reloads cannot fill the queue of the other. Both are subscribed before newGateway,
+	// because a SIGHUP would otherwise end the process.
+	Reloads, Terminations <-chan os.Signal
 }
 
 // gateway holds all parts of a serving process. newGateway constructs them, Run serves, and Close releases
@@ -342,6 +341,7 @@
 // returns nil once a shutdown is complete, and the listener's error if the server ends without a shutdown.
 func (g *gateway) handleEvents(ctx context.Context, served <-chan error) error {
 	var shutdownDone <-chan struct{} // nil until a shutdown begins
+	reload := newReloader(g.readUpdatedConfiguration)
 	canceled := ctx.Done()
 	for {
 		select {
@@ -353,19 +353,19 @@
 		case <-shutdownDone:
 			return nil
 		case <-g.replica.Edits(): // a plan or class was edited in the store, which is handled like SIGHUP
-			select {
-			case g.options.Signals <- syscall.SIGHUP:
-			default: // signals are already waiting, and the first of them reads the edit or ends the process
-			}
+			reload.request()
+		case <-g.options.Reloads:
+			reload.request()
+		case result := <-reload.results:
+			g.applyReload(result)
+			reload.applied()
 		case <-canceled:
 			canceled = nil
 			if shutdownDone == nil {
 				shutdownDone = g.beginShutdown()
 			}
-		case received := <-g.options.Signals:
-			if received == syscall.SIGHUP {
-				g.reload()
-			} else if shutdownDone == nil {
+		case <-g.options.Terminations:
+			if shutdownDone == nil {
 				shutdownDone = g.beginShutdown()
 			}
 		}
--- a/cmd/fawnplank/shutdown_faults_test.go
+++ b/cmd/fawnplank/shutdown_faults_test.go
@@ -69,6 +69,7 @@
 // testShutdownWithLateConnection: a connection that comes in the last moment in which one may, and sends its
 // request a little later, gets its answer, though its deadline ends after that of all others.
 func testShutdownWithLateConnection(t *testing.T, g *drainGateway) {
+	t.Helper()
 	terminated := g.terminate(t)
 	time.Sleep(acceptWindow)
 	client := dial(t, g.address)
@@ -81,6 +82,7 @@
 // testShutdownWithBusyConnection: a client goes on sending, up to the end, on a connection with an open
 // request. Nothing of that is read later than the listener closes.
 func testShutdownWithBusyConnection(t *testing.T, g *drainGateway) {
+	t.Helper()
 	client := dial(t, g.address)
 	setDeadline(client, 2*killDelay)
 	send(client, request("1", drainFields))
@@ -101,6 +103,7 @@
 
 // testShutdownWithInvalidCommands: a request that was read together with many invalid commands is answered.
 func testShutdownWithInvalidCommands(t *testing.T, g *drainGateway) {
+	t.Helper()
 	const invalidCommands = 200
 	client := dial(t, g.address)
 	setDeadline(client, 2*killDelay)
@@ -111,7 +114,7 @@
 	for range invalidCommands {
 		checkRejected(t, reader)
 	}
-	if line, err := reader.ReadString('\n'); err != nil {
+	if line, err := reader.ReadString('\n'); !errors.Is(err, io.EOF) {
 		t.Errorf("behind the response: %q, %v", line, err)
 	}
 	g.checkEnded(t, terminated)
@@ -119,6 +122,7 @@
 
 // testShutdownWithClientThatNeverReads: the end does not wait for a client that reads nothing.
 func testShutdownWithClientThatNeverReads(t *testing.T, g *drainGateway) {
+	t.Helper()
 	client := dial(t, g.address)
 	setDeadline(client, 2*killDelay)
 	go func() {
@@ -130,6 +134,7 @@
 
 // testShutdownBetweenReloads: a SIGTERM among reloads that come faster than they are done is not lost.
 func testShutdownBetweenReloads(t *testing.T, g *drainGateway) {
+	t.Helper()
 	replaceByPipe(t, g.file)
 	for range 3 * pendingSignals { // the first reload waits for the pipe, the others for the first
 		sendSignal(t, g.Cmd, syscall.SIGHUP)
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -18,6 +18,7 @@
 	"golang.org/x/net/netutil"
 
 	"fawnplank/internal/logging"
+	"fawnplank/internal/retryaccept"
 )
 
 // Gateway is the object on which the calls act.
@@ -84,7 +85,8 @@
 	}
 	server.SetKeepAlivesEnabled(false)
 	// The wrapped connections hide net.TCPConn's ReadFrom, with which net/http could splice or send a file.
-	return &Server{server: server, listener: netutil.LimitListener(listener, o.MaxCalls)}, nil
+	retrying := retryaccept.New(listener, "admin") // without it, a failed accept ends the server or delays calls
+	return &Server{server: server, listener: netutil.LimitListener(retrying, o.MaxCalls)}, nil
 }
 
 func newHandler(gateway Gateway) http.Handler {
--- a/internal/frontend/accept.go
+++ b/internal/frontend/accept.go
@@ -1,34 +1,29 @@
 package frontend
 
 import (
-	"errors"
 	"net"
-	"os"
 	"time"
 
-	"fawnplank/internal/logging"
+	"fawnplank/internal/retryaccept"
 )
 
-// acceptRetryDelay is the pause after a failed accept. If the process is out of descriptors, some are freed
-// soon.
-const acceptRetryDelay = 10 * time.Millisecond
-
 // accept adds connections until the listener is closed or its deadline has passed.
-func (s *Server) accept(listener net.Listener) {
+func (s *Server) accept(listener *retryaccept.Listener) {
 	for {
 		conn, err := listener.Accept()
-		if errors.Is(err, net.ErrClosed) || errors.Is(err, os.ErrDeadlineExceeded) {
-			return
-		}
 		if err != nil {
-			logging.For(logComponent).WithError(err).Warn("accept failed")
-			time.Sleep(acceptRetryDelay)
-			continue
+			return
 		}
 		s.addConnection(conn)
 	}
 }
 
+// AcceptFailing reports whether the last accept failed, so that connections may be waiting on the listener.
+func (s *Server) AcceptFailing() bool {
+	listener := s.listener.Load()
+	return listener != nil && listener.Failing()
+}
+
 // addConnection starts to serve a connection. If there are too many, it first waits until the connection that
 // would be missed least can be closed.
 func (s *Server) addConnection(accepted net.Conn) {
@@ -47,6 +42,10 @@
 	defer s.mu.Unlock()
 	s.makeCapacity()
 	s.connections[c] = struct{}{}
+	s.accepted.Add(1)
+	if s.endsConnections() {
+		c.startEnding(time.Now())
+	}
 }
 
 // makeCapacity evicts idle connections until there is capacity for one more. If all are busy, it waits. The
--- a/internal/frontend/backpressure.go
+++ b/internal/frontend/backpressure.go
@@ -29,6 +29,9 @@
 		return false
 	}
 	c.pending = append(c.pending, p)
+	if p.isRequest {
+		c.requestsOpen.Add(1)
+	}
 	c.pendingBytes += len(p.raw)
 	return true
 }
@@ -94,7 +97,7 @@
 	}
 }
 
-// sleep waits for the duration, or until the client has gone.
+// sleep waits for the duration, or until the client has gone or the connection is to end.
 func (c *connection) sleep(duration time.Duration) {
 	over := false
 	timer := time.AfterFunc(duration, func() {
@@ -106,7 +109,7 @@
 	defer timer.Stop()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for !c.peer.gone() && !over {
+	for !c.peer.gone() && !c.draining.Load() && !over {
 		c.pendingFewer.Wait()
 	}
 }
--- a/internal/frontend/connection.go
+++ b/internal/frontend/connection.go
@@ -117,10 +117,16 @@
 	input   inputState
 
 	activity   activityTracker // of the reader
+	received   atomic.Int64    // requests received so far, for the log
 	heldLogged atomic.Bool     // the log says that the connection outlasts a drain
 
 	validated atomic.Bool // the client has sent a valid command
 	draining  atomic.Bool // the connection ends after the responses that are due
+	// endingSinceAgeNanos is the age of the connection at which draining was set.
+	endingSinceAgeNanos atomic.Int64
+	// partialCommand is whether the first part of a command was read.
+	partialCommand atomic.Bool
+	requestsOpen   atomic.Int64 // requests whose response is not completely written
 	// awaitingFromAgeNanos is the age of the connection at which the wait for a complete command began; 0 if no
 	// command is awaited.
 	awaitingFromAgeNanos atomic.Int64
@@ -220,7 +226,7 @@
 // close with unread bytes resets the connection and discards a response still in transit: after a response,
 // the client has lastResponseGrace to take it.
 func (c *connection) shutDown() {
-	if !c.closeInput() {
+	if c.awaitsRestOfCommand() || !c.closeInput() {
 		return
 	}
 	c.closeWrite()
--- a/internal/frontend/held_connections.go
+++ b/internal/frontend/held_connections.go
@@ -55,7 +55,8 @@
 	return func() { t.current.Store(previous) }
 }
 
-// logHeldConnections logs, once each, connections that are still open though a drain has lasted for long.
+// logHeldConnections logs, once each, connections that are open though a drain has lasted for long: those that
+// have not ended, and those that clients have opened since.
 func (s *Server) logHeldConnections(drainAge time.Duration) {
 	if drainAge < heldAfter {
 		return
@@ -68,12 +69,16 @@
 		if logged == maxHeldLogged {
 			return
 		}
-		if now.Sub(c.acceptedAt) < heldAfter || c.heldLogged.Swap(true) {
+		if now.Sub(c.acceptedAt) < newConnectionGrace || c.heldLogged.Swap(true) {
 			continue
 		}
 		logged++
-		logging.For(logComponent).WithFields(c.logFields(now)).WithField("drain_age", drainAge.String()).
-			Warn("connection outlasts drain")
+		entry := logging.For(logComponent).WithFields(c.logFields(now)).WithField("drain_age", drainAge.String())
+		if now.Sub(c.acceptedAt) > drainAge {
+			entry.Warn("connection outlasts drain")
+		} else {
+			entry.Warn("connection opened during drain stays open")
+		}
 	}
 }
 
@@ -83,6 +88,7 @@
 		"client":   c.conn.RemoteAddr().String(),
 		"open_for": now.Sub(c.acceptedAt).String(),
 		"reader":   c.activity.load().String(),
+		"received": c.received.Load(),
 	}
 	if !c.mu.TryLock() {
 		fields["writing"] = true
--- a/internal/frontend/race_conditions_test.go
+++ b/internal/frontend/race_conditions_test.go
@@ -74,8 +74,7 @@
 	h := newHarness(t, harnessOptions{})
 	client, attempt := h.openRequest("1")
 	c := h.onlyConnection()
-	h.server.beginShutdown()
-	client.send(words("PING")) // read while the first is still open; then its reader waits for that
+	client.send(words("PING")) // before the shutdown: it is read and answered
 	h.until("the PING is read", func() bool {
 		c.mu.Lock()
 		defer c.mu.Unlock()
@@ -83,8 +82,17 @@
 		defer c.inputMu.Unlock()
 		return len(c.pending) == 2 && c.input != inputUnhandled
 	})
-	client.send(query("2", lookupFields))
+	h.server.beginShutdown()
+	h.until("the reader has left its read", func() bool { return c.activity.load() == readerAwaitsResponses })
+	client.send(words("PING") + query("2", lookupFields))
 	h.until("the request waits to be read", func() bool { return c.conn.HasPendingBytes() })
+	for range 5 { // the shutdown goes on looking
+		h.server.beginShutdown()
+		time.Sleep(shutdownInterval)
+	}
+	if !c.conn.HasPendingBytes() {
+		t.Error("read after the shutdown")
+	}
 	attempt.respond(okReply)
 	client.expect(okResponse + "+PONG\r\n")
 	if _, err := client.reader.ReadByte(); !errors.Is(err, io.EOF) {
--- a/internal/frontend/reader.go
+++ b/internal/frontend/reader.go
@@ -77,8 +77,8 @@
 			c.linger()
 			return false
 		case errors.Is(err, os.ErrDeadlineExceeded):
-			// If no command is overdue, either it has just arrived completely or the connection is to end.
-			if c.awaitingFromAgeNanos.Load() != 0 && !c.draining.Load() {
+			// If no command is overdue, it has just arrived completely, or the connection is, or was, to end.
+			if c.commandOverdue(time.Now()) && !c.draining.Load() {
 				c.rejectClient("Protocol error: no whole command in time")
 				return false
 			}
@@ -92,12 +92,16 @@
 	}
 }
 
-// shutDownIfDraining ends a draining connection unless it is new. It waits until everything handled so far is
-// answered. Nothing is read while it waits, nor afterwards.
+// shutDownIfDraining ends a draining connection unless it is new or the rest of a command may still arrive. It
+// waits until everything handled so far is answered. Nothing is read while it waits, nor afterwards.
 func (c *connection) shutDownIfDraining() {
 	if !c.draining.Load() || c.isNew(time.Now()) {
 		return
 	}
+	if c.awaitsRestOfCommand() {
+		c.setReadDeadline(time.Now().Add(partialCommandGrace))
+		return
+	}
 	c.awaitResponses()
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -149,6 +153,9 @@
 // pauseAfterFault makes a client that sends invalid commands wait, longer with each of them, so that the
 // client gains nothing by repeating the same command at once.
 func (c *connection) pauseAfterFault() {
+	if c.draining.Load() {
+		return
+	}
 	pause := min(time.Duration(c.reader.invalidCommands)*faultPauseStep, maxFaultPause)
 	c.waitWatched(readerPauses, func() { c.sleep(pause) })
 }
@@ -174,6 +181,7 @@
 		}
 	}
 	r.buffered = copy(r.buffer, rest)
+	c.partialCommand.Store(r.buffered > 0)
 	switch {
 	case r.buffered == len(r.buffer):
 		return c.growBuffer()
--- a/internal/frontend/request.go
+++ b/internal/frontend/request.go
@@ -68,6 +68,7 @@
 		c.handleRequest(raw, words)
 	case "PING":
 		if c.server.Draining() {
+			c.server.rejectedPings.Add(1)
 			c.respondLine("-ERR draining")
 		} else {
 			c.respondLine("+PONG")
@@ -81,8 +82,16 @@
 
 // handleRequest parses and submits a request, or answers it with an error.
 func (c *connection) handleRequest(raw []byte, words [][]byte) {
+	c.received.Add(1)
+	c.server.received.Add(1)
 	head := requestHead{config: c.server.config.Load()}
 	err := head.parse(words)
+	if err == nil && c.server.rejectsRequests() {
+		c.server.metrics.RequestAnswered(head.class, metrics.RequestRejected)
+		c.server.rejectedRequests.Add(1)
+		c.respondLine("-BUSY")
+		return
+	}
 	if err == nil {
 		err = c.submit(&head, raw)
 	}
--- a/internal/frontend/responses.go
+++ b/internal/frontend/responses.go
@@ -76,6 +76,9 @@
 		if !c.peer.gone() {
 			c.write(first.response)
 		}
+		if first.isRequest {
+			c.requestsOpen.Add(-1)
+		}
 	}
 }
 
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -11,6 +11,7 @@
 	"fawnplank/internal/dispatch"
 	"fawnplank/internal/membudget"
 	"fawnplank/internal/metrics"
+	"fawnplank/internal/retryaccept"
 )
 
 // logComponent names this package in the log.
@@ -69,14 +70,21 @@
 	evictionThreshold int           // at this many validated connections, idle ones are evicted for new ones
 	writeTimeout      time.Duration // for one piece of a response
 
-	serving            atomic.Bool  // in Serve: a connection may be accepted that connections does not hold yet
-	closing            atomic.Bool  // a shutdown has begun
-	drainingSinceNanos atomic.Int64 // Unix time at which the drain began; 0 if not draining
-	capacityWanted     atomic.Bool  // addConnection waits for a connection to end or to become idle
+	serving          atomic.Bool  // in Serve: a connection may be accepted that connections does not hold yet
+	closing          atomic.Bool  // a shutdown has begun
+	drain            drainClock   // when the drain began, if one is under way
+	capacityWanted   atomic.Bool  // addConnection waits for a connection to end or to become idle
+	accepted         atomic.Int64 // connections accepted so far
+	received         atomic.Int64 // requests received so far
+	forcedCloses     atomic.Int64 // connections closed because they did not end by themselves
+	rejectedPings    atomic.Int64 // because of a drain
+	rejectedRequests atomic.Int64 // because of a drain
+	listener         atomic.Pointer[retryaccept.Listener]
 
 	mu            sync.Mutex
 	connections   map[*connection]struct{}
 	requestIDs    map[string]struct{} // of the open requests
+	atDrain       Stats               // when the drain began
 	capacityFreed *sync.Cond          // a connection has ended, or may have become idle
 }
 
@@ -88,6 +96,7 @@
 		metrics: options.Metrics, budget: options.Budget, usage: options.Usage,
 		maxConnections: options.MaxConnections,
 		connections:    map[*connection]struct{}{}, requestIDs: map[string]struct{}{},
+		drain: newDrainClock(),
 	}
 	s.evictionThreshold = min(max(options.Config.MaxSockets/clientDescriptorDivisor, 1), options.MaxConnections)
 	s.writeTimeout = writeTimeoutMargin
@@ -112,10 +121,32 @@
 	go s.sweepConnections(acceptEnded)
 	s.serving.Store(true)
 	defer s.serving.Store(false)
-	s.accept(listener)
+	retrying := retryaccept.New(listener, logComponent)
+	s.listener.Store(retrying)
+	s.accept(retrying)
 	return nil
 }
 
+// Stats are counts of a server since its start.
+type Stats struct {
+	Accepted         int64 // connections accepted
+	Received         int64 // requests received
+	RejectedPings    int64 // PINGs answered with an error because of a drain
+	RejectedRequests int64 // requests rejected because of a drain
+	ClosedByForce    int64 // connections that did not end by themselves at a drain or shutdown
+}
+
+// Stats returns the counts.
+func (s *Server) Stats() Stats {
+	return Stats{
+		Accepted:         s.accepted.Load(),
+		Received:         s.received.Load(),
+		RejectedPings:    s.rejectedPings.Load(),
+		RejectedRequests: s.rejectedRequests.Load(),
+		ClosedByForce:    s.forcedCloses.Load(),
+	}
+}
+
 // Connections returns the number of open connections.
 func (s *Server) Connections() int {
 	s.mu.Lock()
--- a/internal/frontend/sweep.go
+++ b/internal/frontend/sweep.go
@@ -22,9 +22,9 @@
 }
 
 func (s *Server) sweep(now time.Time) {
-	if since := s.drainingSinceNanos.Load(); since != 0 && now.UnixNano()-since > int64(drainDelay) {
+	if age, draining := s.drain.age(); draining && age > drainDelay {
 		s.shutDownConnections()
-		s.logHeldConnections(time.Duration(now.UnixNano() - since))
+		s.logHeldConnections(age)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/limitserver/server.go
+++ b/internal/limitserver/server.go
@@ -11,6 +11,7 @@
 
 	"fawnplank/internal/authz"
 	"fawnplank/internal/dispatch"
+	"fawnplank/internal/retryaccept"
 	"fawnplank/policy"
 )
 
@@ -91,7 +92,7 @@
 
 // Serve accepts connections until Close is called, then closes the listener.
 func (s *Server) Serve(l net.Listener) error {
-	err := s.server.Serve(&boundingListener{l})
+	err := s.server.Serve(&boundingListener{retryaccept.New(l, "limits")})
 	if errors.Is(err, net.ErrClosed) {
 		err = nil
 	}
--- /dev/null
+++ b/internal/retryaccept/retryaccept_test.go
@@ -0,0 +1,63 @@
+package retryaccept
+
+import (
+	"errors"
+	"net"
+	"os"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// scriptedListener returns one result for each call of Accept, and at the end that it is closed.
+type scriptedListener struct {
+	net.Listener
+	results []error
+}
+
+func (l *scriptedListener) Accept() (net.Conn, error) {
+	if len(l.results) == 0 {
+		return nil, net.ErrClosed
+	}
+	result := l.results[0]
+	l.results = l.results[1:]
+	if result == nil {
+		return &net.TCPConn{}, nil
+	}
+	return nil, &net.OpError{Op: "accept", Err: result}
+}
+
+func TestListener_AcceptsAcrossFailures(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		listener := New(&scriptedListener{results: []error{
+			syscall.ENFILE, syscall.ENOBUFS, syscall.EPROTO, nil, nil,
+		}}, "test")
+		start := time.Now()
+		if _, err := listener.Accept(); err != nil || time.Since(start) != 3*Delay {
+			t.Errorf("%v after %v", err, time.Since(start))
+		}
+		if _, err := listener.Accept(); err != nil || listener.Failing() {
+			t.Errorf("%v, failing %t", err, listener.Failing())
+		}
+		if _, err := listener.Accept(); !errors.Is(err, net.ErrClosed) {
+			t.Errorf("at the end: %v", err)
+		}
+	})
+}
+
+// TestListener_DeadlineDoesNotEndAnOutage: connections that wait while accepts fail are accepted, also if the
+// deadline passes meanwhile.
+func TestListener_DeadlineDoesNotEndAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		listener := New(&scriptedListener{results: []error{
+			syscall.ENFILE, os.ErrDeadlineExceeded, os.ErrDeadlineExceeded, nil, os.ErrDeadlineExceeded,
+		}}, "test")
+		if _, err := listener.Accept(); err != nil {
+			t.Errorf("after the outage: %v", err)
+		}
+		if _, err := listener.Accept(); !errors.Is(err, os.ErrDeadlineExceeded) {
+			t.Errorf("at the deadline: %v", err)
+		}
+	})
+}
--- a/internal/sock/poll.go
+++ b/internal/sock/poll.go
@@ -38,6 +38,8 @@
 	n, _, errno := syscall.RawSyscall6(syscall.SYS_RECVFROM, fd, uintptr(unsafe.Pointer(&b[0])), 1,
 		syscall.MSG_PEEK|syscall.MSG_DONTWAIT, 0, 0)
 	switch {
+	case errno == syscall.EINTR:
+		c.tryPeek(fd)
 	case errno == syscall.EAGAIN:
 		c.peeked = nothingPending
 	case errno != 0 || n == 0:
@@ -65,5 +67,8 @@
 func hungUp(fd uintptr) bool {
 	polled := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
 	n, err := unix.Poll(polled, 0)
+	for errors.Is(err, unix.EINTR) { // taken for no hang-up, it would be missed: there is no further event
+		n, err = unix.Poll(polled, 0)
+	}
 	return err == nil && n > 0 && polled[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
 }
