--- a/cmd/fawnplank/drain_test.go
+++ b/cmd/fawnplank/drain_test.go
@@ -121,8 +121,8 @@
 // clients do meanwhile, and whatever becomes of the wall clock.
 func TestDrain_EndsEveryConnection(t *testing.T) {
 	for name, test := range map[string]func(t *testing.T){
-		"wall clock an hour back":    func(t *testing.T) { testDrainWithClockStep(t, -time.Hour) },
-		"wall clock an hour forward": func(t *testing.T) { testDrainWithClockStep(t, time.Hour) },
+		"wall clock an hour back":    func(t *testing.T) { t.Helper(); testDrainWithClockStep(t, -time.Hour) },
+		"wall clock an hour forward": func(t *testing.T) { t.Helper(); testDrainWithClockStep(t, time.Hour) },
 		"invalid commands":           testDrainWithInvalidCommands,
 		"half a command":             testDrainWithHalfCommands,
 		"nothing is read":            testDrainWithClientThatNeverReads,
