--- a/cmd/fawnplank/drain_test.go
+++ b/cmd/fawnplank/drain_test.go
@@ -127,6 +127,7 @@
 		"half a command":             testDrainWithHalfCommands,
 		"nothing is read":            testDrainWithClientThatNeverReads,
 		"busy connection goes on":    testDrainWithBusyConnection,
+		"clients keep coming":        testDrainWithNewClients,
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -241,3 +242,33 @@
 	}
 	g.checkDrained(t, began)
 }
+
+// testDrainWithNewClients: the load balancer goes on sending clients, each with a request that the backend does
+// not answer. A request of the last 2 s must not hold its connection at the limit.
+func testDrainWithNewClients(t *testing.T) {
+	t.Helper()
+	g := startDrainGateway(t)
+	began := g.drain(t)
+	held := make(chan time.Duration)
+	clients := 0
+	for time.Since(began) < drainLimit-drainLimitMargin {
+		client := dial(t, g.address)
+		clients++
+		sent := time.Now()
+		send(client, request(strconv.Itoa(clients), drainFields))
+		go func() {
+			_, _ = io.Copy(io.Discard, client) // up to its end
+			if sent.Sub(began) < drainLimit-2*time.Second {
+				held <- 0
+				return
+			}
+			held <- time.Since(sent)
+		}()
+		time.Sleep(30 * time.Millisecond)
+	}
+	for range clients {
+		if duration := <-held; duration > drainLimitMargin {
+			t.Errorf("a request of the last 2 s held its connection for %v", duration)
+		}
+	}
+}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -58,6 +58,8 @@
 	lastRequest policy.RequestID
 	timers      timerqueue.Queue[timer]
 	alarm       *time.Timer
+	wallNow     func() int64   // the wall clock, as Unix time in nanoseconds
+	starts      startTimes     // of backends
 	alarmAt     int64          // when the alarm goes off; 0: not set
 	latestWake  policy.TimerID // the latest wake-up that replaces earlier ones
 	// What the engine requested during a call; it is carried out once that call has returned.
@@ -82,6 +84,7 @@
 func New() *Dispatcher {
 	d := &Dispatcher{
 		startedAt: time.Now(),
+		wallNow:   func() int64 { return time.Now().UnixNano() },
 		stopped:   make(chan struct{}),
 		requests:  map[policy.RequestID]*Request{},
 		alarm:     time.NewTimer(time.Hour),
@@ -160,6 +163,7 @@
 // the backend stays up.
 func (d *Dispatcher) UpdateEndpoints(kind policy.UpdateKind, endpoints []policy.Endpoint) {
 	d.do(func(now int64) {
+		endpoints := d.starts.translate(now, d.wallNow(), kind, endpoints)
 		d.engine.UpdateEndpoints(now, kind, endpoints)
 		d.cancelUnusableAttempts(kind, endpoints)
 	})
