--- a/cmd/fawnplank/drain_test.go
+++ b/cmd/fawnplank/drain_test.go
@@ -39,8 +39,17 @@
 // startDrainGateway starts a gateway with additions to its environment.
 func startDrainGateway(t *testing.T, environment ...string) *drainGateway {
 	t.Helper()
-	g := &drainGateway{management: freeAddress(t)}
+	var g *drainGateway
 	backend := testutil.ServeCommands(t, func(net.Conn) { g.attempts.Add(1) })
+	g = newDrainGateway(t, backend, drainDeadlineMs)
+	g.start(t, environment...)
+	return g
+}
+
+// newDrainGateway returns a gateway that is not started yet.
+func newDrainGateway(t *testing.T, backend net.Addr, deadlineMs int) *drainGateway {
+	t.Helper()
+	g := &drainGateway{management: freeAddress(t)}
 	g.gatewayProcess = &gatewayProcess{
 		address: freeAddress(t),
 		file:    filepath.Join(t.TempDir(), "config.json"),
@@ -48,8 +57,14 @@
 	}
 	text := fmt.Sprintf(configuration, g.address, silentDiscovery(t), backend)
 	text = strings.Replace(text, `"name":"n0"`, fmt.Sprintf(`"name":"n0","mgmt":%q`, g.management), 1)
-	text = strings.Replace(text, `"deadline-ms":1500`, fmt.Sprintf(`"deadline-ms":%d`, drainDeadlineMs), 1)
+	text = strings.Replace(text, `"deadline-ms":1500`, fmt.Sprintf(`"deadline-ms":%d`, deadlineMs), 1)
 	writeFile(t, g.file, text)
+	return g
+}
+
+// start starts the process and waits until it is ready.
+func (g *drainGateway) start(t *testing.T, environment ...string) {
+	t.Helper()
 	g.Cmd = exec.CommandContext(t.Context(), os.Args[0], "serve", "-c", g.file)
 	g.Env = append(append(os.Environ(), "FAWNPLANK_AS_MAIN=1", "GORACE=atexit_sleep_ms=0"), environment...)
 	g.Stderr = g.gatewayProcess
@@ -59,7 +74,6 @@
 	go func() { g.ended <- g.Wait() }()
 	t.Cleanup(func() { kill(g.Cmd) })
 	testutil.Eventually(t, "ready", func() bool { return g.ready(t) })
-	return g
 }
 
 // call makes a call at the management address and returns its answer.
