--- a/cmd/fawnplank/shutdown.go
+++ b/cmd/fawnplank/shutdown.go
@@ -14,14 +14,6 @@
 	// arrivalGrace is how long connections are accepted after the signal. New ones may still arrive up to 0.4 s
 	// later.
 	arrivalGrace = 450 * time.Millisecond
-	// acceptGrace is how long a connection that the kernel has accepted by then may wait to be accepted here.
-	acceptGrace = 20 * time.Millisecond
-	// listenerGrace is the time from the start of acceptGrace until the listener is closed. It is longer than
-	// acceptGrace, so that the server already has the last accepted connection when the listener closes.
-	listenerGrace = 30 * time.Millisecond
-	// maxAcceptExtensions is how often acceptGrace is granted again while accepts fail, so that connections
-	// that the kernel has accepted are not lost to an outage of a tenth of a second.
-	maxAcceptExtensions = 4
 	// lastRequestGrace is how long after the listener is closed a request may still be read: the first one of a
 	// connection that was accepted last.
 	lastRequestGrace = 200 * time.Millisecond
@@ -50,7 +42,7 @@
 func drainClients(server *frontend.Server, listener net.Listener, settings policy.Settings) {
 	logging.For("frontend").WithField("connections", server.Connections()).Info("stopping")
 	time.Sleep(arrivalGrace)
-	acceptLast(server, listener)
+	server.AcceptLast(listener)
 	_ = listener.Close() // the process ends next
 	ctx, cancel := context.WithTimeout(context.Background(), longestDeadline(settings)+lastRequestGrace)
 	defer cancel()
@@ -58,21 +50,6 @@
 	logging.For("frontend").WithField("connections", server.Connections()).Info("stopped")
 }
 
-// acceptLast waits until the connections are accepted that wait on the listener: the kernel has accepted them,
-// so they are served before the listener closes.
-func acceptLast(server *frontend.Server, listener net.Listener) {
-	tcp, ok := listener.(*net.TCPListener)
-	for range 1 + maxAcceptExtensions {
-		if ok {
-			_ = tcp.SetDeadline(time.Now().Add(acceptGrace)) // fails on a closed listener, which accepts no more anyway
-		}
-		time.Sleep(listenerGrace)
-		if !server.AcceptFailing() {
-			return
-		}
-	}
-}
-
 func longestDeadline(settings policy.Settings) time.Duration {
 	var longest int64
 	for _, class := range settings.Classes {
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -54,11 +54,13 @@
 // The owner of the descriptors reserves this number.
 func CallLimit(maxSockets int) int { return min(maxCalls, maxSockets/descriptorsPerCall) }
 
-// Options configures a Server. All fields are required.
+// Options configures a Server. All exported fields are required.
 type Options struct {
 	Address  string // host and port to listen on
 	Gateway  Gateway
 	MaxCalls int // open at once; see CallLimit
+
+	wrapListener func(net.Listener) net.Listener // by tests; nil wraps nothing
 }
 
 // Server serves the management address.
@@ -85,6 +87,9 @@
 	}
 	server.SetKeepAlivesEnabled(false)
 	// The wrapped connections hide net.TCPConn's ReadFrom, with which net/http could splice or send a file.
+	if o.wrapListener != nil {
+		listener = o.wrapListener(listener)
+	}
 	retrying := retryaccept.New(listener, "admin") // without it, a failed accept ends the server or delays calls
 	return &Server{server: server, listener: netutil.LimitListener(retrying, o.MaxCalls)}, nil
 }
--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -4,8 +4,10 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -20,10 +22,15 @@
 	_, _ = io.WriteString(w, "gw_concurrent 0\n") // the caller's test reads it
 }
 
-// serve starts a server that is closed, and has ended, when the test ends.
-func serve(t *testing.T) *Server {
+// serve starts a server that is closed, and has ended, when the test ends. A wrap stands between it and its
+// listener.
+func serve(t *testing.T, wrap ...func(net.Listener) net.Listener) *Server {
 	t.Helper()
-	s, err := New(t.Context(), Options{Address: "127.0.0.1:0", Gateway: &fakeGateway{}, MaxCalls: maxCalls})
+	options := Options{Address: "127.0.0.1:0", Gateway: &fakeGateway{}, MaxCalls: maxCalls}
+	for _, w := range wrap {
+		options.wrapListener = w
+	}
+	s, err := New(t.Context(), options)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -124,3 +131,28 @@
 		}
 	}
 }
+
+// failingListener fails the first accepts with errors that end, or pause, a server of net/http.
+type failingListener struct {
+	net.Listener
+	failures []error
+}
+
+func (l *failingListener) Accept() (net.Conn, error) {
+	if len(l.failures) > 0 {
+		failure := l.failures[0]
+		l.failures = l.failures[1:]
+		return nil, &net.OpError{Op: "accept", Err: failure}
+	}
+	return l.Listener.Accept()
+}
+
+// TestServer_AnswersAfterFailedAccepts: while the system refuses connections the server goes on trying, and it
+// answers within the second that is promised as soon as it can.
+func TestServer_AnswersAfterFailedAccepts(t *testing.T) {
+	failures := slices.Repeat([]error{syscall.ENFILE, syscall.ENOBUFS, syscall.EPROTO}, 10)
+	s := serve(t, func(listener net.Listener) net.Listener { return &failingListener{listener, failures} })
+	if code, body := call(t, s, "POST", "/admin/quiesce"); code != 200 {
+		t.Errorf("%d %q", code, body)
+	}
+}
--- a/internal/dnsserver/server.go
+++ b/internal/dnsserver/server.go
@@ -20,6 +20,7 @@
 
 	"fawnplank/internal/dnszone"
 	"fawnplank/internal/logging"
+	"fawnplank/internal/retryaccept"
 )
 
 // Options configures a server. Settings, ZoneFile and Publish are required.
@@ -227,7 +228,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.serve(&dns.Server{PacketConn: packets, UDPSize: maxUDPMessageBytes})
-	s.serve(&dns.Server{Listener: netutil.LimitListener(stream, maxConcurrent)})
+	s.serve(&dns.Server{Listener: netutil.LimitListener(retryaccept.New(stream, component), maxConcurrent)})
 	s.address = packets.LocalAddr().String()
 	logging.For(component).
 		WithField(logging.Address, s.address).
--- a/internal/frontend/accept.go
+++ b/internal/frontend/accept.go
@@ -7,6 +7,18 @@
 	"fawnplank/internal/retryaccept"
 )
 
+const (
+	// acceptGrace is how long a connection that the kernel has accepted may wait to be accepted here once
+	// accepting ends.
+	acceptGrace = 20 * time.Millisecond
+	// listenerGrace is the time from the start of acceptGrace until the listener is closed. It is longer than
+	// acceptGrace, so that the server already has the last accepted connection when the listener closes.
+	listenerGrace = 30 * time.Millisecond
+	// maxAcceptExtensions is how often acceptGrace is granted again while accepts fail, so that connections
+	// that the kernel has accepted are not lost to an outage of a tenth of a second.
+	maxAcceptExtensions = 4
+)
+
 // accept adds connections until the listener is closed or its deadline has passed.
 func (s *Server) accept(listener *retryaccept.Listener) {
 	for {
@@ -18,8 +30,23 @@
 	}
 }
 
-// AcceptFailing reports whether the last accept failed, so that connections may be waiting on the listener.
-func (s *Server) AcceptFailing() bool {
+// AcceptLast ends accepting: it returns once the connections are accepted that wait on the listener. The kernel
+// has accepted them already, so they are served before the listener is closed.
+func (s *Server) AcceptLast(listener net.Listener) {
+	bounded, ok := listener.(interface{ SetDeadline(at time.Time) error })
+	for range 1 + maxAcceptExtensions {
+		if ok {
+			_ = bounded.SetDeadline(time.Now().Add(acceptGrace)) // fails on a closed listener, which accepts no more
+		}
+		time.Sleep(listenerGrace)
+		if !s.acceptFailing() {
+			return
+		}
+	}
+}
+
+// acceptFailing reports whether the last accept failed, so that connections may be waiting on the listener.
+func (s *Server) acceptFailing() bool {
 	listener := s.listener.Load()
 	return listener != nil && listener.Failing()
 }
--- /dev/null
+++ b/internal/frontend/accept_test.go
@@ -0,0 +1,55 @@
+package frontend
+
+import (
+	"errors"
+	"io"
+	"net"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"fawnplank/internal/testutil"
+)
+
+// failingListener fails to accept while failing is set, as in an outage of descriptors.
+type failingListener struct {
+	*net.TCPListener
+	failing atomic.Bool
+}
+
+func (l *failingListener) Accept() (net.Conn, error) {
+	if l.failing.Load() { // the connection stays with the kernel
+		return nil, &net.OpError{Op: "accept", Err: syscall.ENFILE}
+	}
+	return l.TCPListener.Accept()
+}
+
+// TestServer_AcceptLastOutlastsAnOutage: a connection that the kernel has accepted is served, though accepts
+// fail while accepting ends.
+func TestServer_AcceptLastOutlastsAnOutage(t *testing.T) {
+	h := newHarness(t, harnessOptions{})
+	listener := &failingListener{TCPListener: testutil.Listen(t).(*net.TCPListener)}
+	listener.failing.Store(true)
+	h.until("the harness serves", h.server.serving.Load)
+	served := make(chan error, 1)
+	go func() { served <- h.server.Serve(listener) }()
+	h.until("accept fails", h.server.acceptFailing)
+	h.listener = listener
+	client := h.dial()
+	client.send(query("1", lookupFields))
+	time.AfterFunc(80*time.Millisecond, func() { listener.failing.Store(false) })
+	h.server.AcceptLast(listener)
+	if err := listener.Close(); err != nil {
+		t.Error(err)
+	}
+	if err := <-served; err != nil {
+		t.Errorf("Serve: %v", err)
+	}
+	h.server.beginShutdown()
+	h.nextAttempt().respond(okReply)
+	client.expect(okResponse)
+	if _, err := client.reader.ReadByte(); !errors.Is(err, io.EOF) {
+		t.Errorf("behind the response: %v", err)
+	}
+}
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -119,10 +119,10 @@
 	acceptEnded := make(chan struct{})
 	defer close(acceptEnded)
 	go s.sweepConnections(acceptEnded)
-	s.serving.Store(true)
-	defer s.serving.Store(false)
 	retrying := retryaccept.New(listener, logComponent)
 	s.listener.Store(retrying)
+	s.serving.Store(true)
+	defer s.serving.Store(false)
 	s.accept(retrying)
 	return nil
 }
--- a/internal/store/api.go
+++ b/internal/store/api.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"time"
 
+	"fawnplank/internal/retryaccept"
 	"fawnplank/internal/store/kv"
 )
 
@@ -41,6 +42,7 @@
 	if err != nil {
 		return err
 	}
+	listener = retryaccept.New(listener, "store") // a failed accept would end the server for good
 	if s.options.TLS != nil {
 		listener = tls.NewListener(listener, s.options.TLS.ServerConfig())
 	}
