frontend: what was read is submitted at once when its connection is to end, with the time left

More requests than may be pending waited in the reader and were closed unanswered at SIGTERM behind a hung backend; a request in the pauses after invalid commands was told its whole deadline; a connection that was new at a resume was turned away early.

--- a/cmd/fawnplank/shutdown_faults_test.go
+++ b/cmd/fawnplank/shutdown_faults_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"os"
+	"strconv"
 	"strings"
 	"syscall"
 	"testing"
@@ -28,6 +29,7 @@
 		"busy connection goes on":         testShutdownWithBusyConnection,
 		"request behind invalid commands": testShutdownWithInvalidCommands,
 		"nothing is read":                 testShutdownWithClientThatNeverReads,
+		"more requests than are pending":  testShutdownWithFullPipeline,
 		"reloads without pause":           testShutdownBetweenReloads,
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -120,6 +122,27 @@
 	g.checkEnded(t, terminated)
 }
 
+// testShutdownWithFullPipeline: requests that were read, and wait until others before them are answered, get
+// their answers before the end, too.
+func testShutdownWithFullPipeline(t *testing.T, g *drainGateway) {
+	t.Helper()
+	const requests = 40 // more than are pending at once, and read at once
+	client := dial(t, g.address)
+	setDeadline(client, 2*killDelay)
+	text := ""
+	for n := range requests {
+		text += request(strconv.Itoa(n), drainFields)
+	}
+	send(client, text)
+	testutil.Eventually(t, "attempts are out", func() bool { return g.attempts.Load() > 0 })
+	terminated := g.terminate(t)
+	reader := bufio.NewReader(client)
+	for range requests {
+		checkRejected(t, reader)
+	}
+	g.checkEnded(t, terminated)
+}
+
 // testShutdownWithClientThatNeverReads: the end does not wait for a client that reads nothing.
 func testShutdownWithClientThatNeverReads(t *testing.T, g *drainGateway) {
 	t.Helper()
--- a/internal/dispatch/request_test.go
+++ b/internal/dispatch/request_test.go
@@ -70,3 +70,20 @@
 	case <-time.After(3 * time.Second):
 	}
 }
+
+// TestRequest_WithoutTimeLeftEndsAtOnce: a request whose time was over before it was handled is answered at once
+// and not sent.
+func TestRequest_WithoutTimeLeftEndsAtOnce(t *testing.T) {
+	for _, timeout := range []time.Duration{0, -time.Second} {
+		withNetwork(t, 1, testSettings, func(n *fakeNetwork) {
+			began := time.Now()
+			request := n.submit(0, timeout)
+			if step := request.NextStep(); step.Action != Reject && step.Action != Abort {
+				t.Errorf("%v: %v", timeout, step.Action)
+			}
+			if took := time.Since(began); took > 0 {
+				t.Errorf("%v: answered after %v", timeout, took)
+			}
+		})
+	}
+}
--- a/internal/frontend/backpressure.go
+++ b/internal/frontend/backpressure.go
@@ -22,7 +22,9 @@
 	defer c.mu.Unlock()
 	if c.isFull() {
 		c.mu.Unlock() // awaitWatched takes it
+		began := time.Now()
 		c.awaitWatched(readerAwaitsCapacity, c.isFull)
+		c.reader.awaitedCapacity += time.Since(began)
 		c.mu.Lock()
 	}
 	if c.peer.gone() || c.isInputClosed() {
@@ -36,8 +38,12 @@
 	return true
 }
 
-// isFull reports whether no further command may become pending. The caller holds mu.
+// isFull reports whether no further command may become pending. The caller holds mu. Once the connection is to
+// end nothing more is read, and what has been read is submitted at once: it has to be answered before the end.
 func (c *connection) isFull() bool {
+	if c.draining.Load() {
+		return false
+	}
 	return len(c.pending) >= maxPendingCommands || c.pendingBytes > maxPendingBytes
 }
 
--- a/internal/frontend/connection_end.go
+++ b/internal/frontend/connection_end.go
@@ -31,6 +31,7 @@
 // continueEnding takes the next step towards the end of a connection that is to end: it is called again and
 // again until the connection has ended.
 func (c *connection) continueEnding(now time.Time) {
+	c.pendingFewer.Broadcast() // again: a reader may have begun to wait just before the first time
 	switch {
 	case c.forcedCloseDue(now):
 		c.server.forcedCloses.Add(1)
--- a/internal/frontend/reader.go
+++ b/internal/frontend/reader.go
@@ -36,11 +36,13 @@
 // reader is the state of the goroutine that reads a connection. No other goroutine uses it.
 type reader struct {
 	buffer           []byte
-	buffered         int      // bytes in buffer that belong to an incomplete command
-	words            [][]byte // of the last command, pointing into buffer
-	invalidCommands  int      // number of commands answered with an error
-	budgetedBytes    int64    // of the budget, for buffer
-	bufferHandedOver bool     // buffer now belongs to a large pending command
+	buffered         int           // bytes in buffer that belong to an incomplete command
+	words            [][]byte      // of the last command, pointing into buffer
+	invalidCommands  int           // number of commands answered with an error
+	paused           time.Duration // since the last read, after invalid commands
+	awaitedCapacity  time.Duration // since the last read, among the pending commands
+	budgetedBytes    int64         // of the budget, for buffer
+	bufferHandedOver bool          // buffer now belongs to a large pending command
 }
 
 // readLoop reads and handles commands until the connection ends.
@@ -87,6 +89,8 @@
 			return false // the unread bytes may be from a client that left long ago
 		default:
 			r.buffered += count
+			r.paused = 0
+			r.awaitedCapacity = 0
 			return true
 		}
 	}
@@ -157,7 +161,19 @@
 		return
 	}
 	pause := min(time.Duration(c.reader.invalidCommands)*faultPauseStep, maxFaultPause)
+	began := time.Now()
 	c.waitWatched(readerPauses, func() { c.sleep(pause) })
+	c.reader.paused += time.Since(began)
+}
+
+// waited returns how much of the time of a request that was read last has passed before it is handled. Waiting
+// for the responses before it does not count, except at the end of the connection, which the deadline of every
+// request bounds.
+func (c *connection) waited() time.Duration {
+	if c.draining.Load() {
+		return c.reader.paused + c.reader.awaitedCapacity
+	}
+	return c.reader.paused
 }
 
 // noteProgress records since when the rest of a command is awaited. A command that is larger than any head is
--- a/internal/frontend/request.go
+++ b/internal/frontend/request.go
@@ -122,8 +122,9 @@
 	plan := p.resolvePlan(head)
 	c.server.metrics.RequestReceived()
 	p.request = c.server.dispatcher.Submit(dispatch.RequestSpec{
-		Class: head.class, Plan: plan, Tenant: head.tenant, Timeout: head.remaining,
-		Units: head.units, EntryPoints: head.entryPoints, FirstInstance: head.firstInstance,
+		Class: head.class, Plan: plan, Tenant: head.tenant,
+		Timeout: head.remaining - c.waited(),
+		Units:   head.units, EntryPoints: head.entryPoints, FirstInstance: head.firstInstance,
 	})
 	go p.run()
 	return nil
--- a/internal/frontend/request_test.go
+++ b/internal/frontend/request_test.go
@@ -191,3 +191,22 @@
 	c.send(query("3", "c=pay,t=team,d=900")) // a class that the reload removed
 	c.expectLine(`-ERR .*`)
 }
+
+// TestServer_PauseCountsAgainstDeadline: a request that waits in the pauses after invalid commands states to its
+// backend only what its client has left.
+func TestServer_PauseCountsAgainstDeadline(t *testing.T) {
+	const invalidCommands = 8
+	h := newHarness(t, harnessOptions{})
+	client := h.dial()
+	client.send(strings.Repeat(words("NONE"), invalidCommands) + query("1", lookupFields))
+	attempt := h.nextAttempt()
+	milliseconds, err := strconv.Atoi(attempt.deadline())
+	if err != nil {
+		t.Fatal(err)
+	}
+	pauses := faultPauseStep * invalidCommands * (invalidCommands + 1) / 2
+	if left := 900*time.Millisecond - pauses; time.Duration(milliseconds)*time.Millisecond > left {
+		t.Errorf("the backend is told %d ms, and the client has %v", milliseconds, left)
+	}
+	attempt.respond(okReply)
+}
--- a/internal/frontend/shutdown_test.go
+++ b/internal/frontend/shutdown_test.go
@@ -104,3 +104,36 @@
 	time.Sleep(drainDelay + 2*sweepInterval)
 	resumed.ping()
 }
+
+// TestServer_ResumeKeepsNewConnection: a connection that is new when a drain is taken back has the usual time
+// for its first command. Failure: it was turned away after newConnectionGrace.
+func TestServer_ResumeKeepsNewConnection(t *testing.T) {
+	h := newHarness(t, harnessOptions{})
+	h.server.Drain()
+	time.Sleep(drainDelay)
+	client := h.dial()
+	h.onlyConnection()
+	h.server.shutDownConnections()
+	h.server.Resume()
+	time.Sleep(2 * newConnectionGrace)
+	client.ping()
+}
+
+// TestServer_DrainsAgainAfterResume: a drain that begins after another was taken back has its whole time, and
+// ends the connections.
+func TestServer_DrainsAgainAfterResume(t *testing.T) {
+	h := newHarness(t, harnessOptions{})
+	client := h.dial()
+	client.ping()
+	h.server.Drain()
+	time.Sleep(drainDelay - 2*sweepInterval)
+	h.server.Resume()
+	h.server.Drain()
+	began := time.Now()
+	if _, err := client.reader.ReadByte(); !errors.Is(err, io.EOF) {
+		t.Errorf("an idle connection: %v", err)
+	}
+	if took := time.Since(began); took < drainDelay || took > drainDelay+time.Second {
+		t.Errorf("closed after %v", took)
+	}
+}
