--- a/cmd/fawnplank/soak_clients_test.go
+++ b/cmd/fawnplank/soak_clients_test.go
@@ -87,6 +87,35 @@
 	return err == nil
 }
 
+// sendAll sends requests in one write.
+func (c *soakConnection) sendAll(requests []soakRequest, text string) {
+	c.mu.Lock()
+	for n := range requests {
+		requests[n].sentAt = time.Now()
+	}
+	c.open = append(c.open, requests...)
+	c.mu.Unlock()
+	if _, err := c.conn.Write([]byte(text)); err != nil {
+		c.reset.Store(c.reset.Load() || isReset(err))
+		c.checkEnd(err)
+	}
+}
+
+// sendSlowly writes all but the last byte of a request in small pieces, and then sends it with the last one. It
+// returns false if the connection has ended.
+func (c *soakConnection) sendSlowly(r soakRequest) bool {
+	last := len(r.text) - 1
+	for n := range last {
+		if _, err := c.conn.Write([]byte(r.text[n : n+1])); err != nil {
+			c.reset.Store(c.reset.Load() || isReset(err))
+			c.checkEnd(err)
+			return false
+		}
+	}
+	r.text = r.text[last:]
+	return c.send(r)
+}
+
 // receive reads the next answer and checks it. It returns false if the connection has ended.
 func (c *soakConnection) receive(checkTime bool) bool {
 	answer, err := readSoakAnswer(c.reader)
@@ -223,6 +252,41 @@
 	}
 }
 
+// runBurstClient sends more requests at once than may be pending on a connection.
+func (w *soakWorld) runBurstClient(random *rand.Rand) {
+	for w.mayOpen() {
+		c := w.dialSoak()
+		if c == nil {
+			time.Sleep(5 * time.Millisecond)
+			continue
+		}
+		burst := make([]soakRequest, 30+random.IntN(40))
+		text := ""
+		for n := range burst {
+			burst[n] = w.nextRequest(random)
+			text += burst[n].text
+		}
+		c.sendAll(burst, text)
+		for range burst {
+			if !c.receive(false) {
+				break
+			}
+		}
+		c.close()
+	}
+}
+
+// runSlowClient writes its requests byte by byte.
+func (w *soakWorld) runSlowClient(random *rand.Rand) {
+	for w.mayOpen() {
+		c := w.dialSoak()
+		for c != nil && !w.stopping.Load() && c.sendSlowly(w.nextRequest(random)) && c.receive(true) {
+			continue
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
 // runLeavingClient closes its connection while a request is open.
 func (w *soakWorld) runLeavingClient(random *rand.Rand) {
 	for w.mayOpen() {
--- a/cmd/fawnplank/soak_test.go
+++ b/cmd/fawnplank/soak_test.go
@@ -36,7 +36,7 @@
 type soakPlan struct {
 	random       *rand.Rand
 	drains       bool // otherwise SIGTERM
-	redrains     bool // the drain is taken back and begun again
+	redrains     bool // the drain is taken back and begun again, or comes before the SIGTERM
 	crowd        bool // idle clients fill the descriptors
 	balancerLate bool // the load balancer goes on opening connections
 	steps        []time.Duration
@@ -155,6 +155,13 @@
 // playTermination sends SIGTERM among other signals, and waits for the end of the process.
 func (w *soakWorld) playTermination(t *testing.T) {
 	t.Helper()
+	if w.plan.redrains { // a restart during a drain, which may have been taken back
+		w.gateway.drain(t)
+		time.Sleep(time.Duration(w.plan.random.IntN(2500)) * time.Millisecond)
+		if w.plan.random.IntN(2) == 0 {
+			w.gateway.call(t, "POST", "/admin/resume")
+		}
+	}
 	before := w.plan.random.IntN(len(w.plan.signals) + 1)
 	for _, signal := range w.plan.signals[:before] {
 		if signal == syscall.SIGHUP {
--- a/cmd/fawnplank/soak_world_test.go
+++ b/cmd/fawnplank/soak_world_test.go
@@ -167,6 +167,8 @@
 		w.startClient(w.runPipeliningClient)
 		w.startClient(w.runLeavingClient)
 		w.startClient(w.runInvalidClient)
+		w.startClient(w.runBurstClient)
+		w.startClient(w.runSlowClient)
 	}
 	w.clients.Go(w.runUnreadingClient)
 	if w.plan.crowd {
