--- a/internal/frontend/doc.go
+++ b/internal/frontend/doc.go
@@ -1,6 +1,7 @@
 // Package frontend serves clients. It owns the listener's connections, the clients' input and the order of
 // responses on each connection: it parses commands in place, submits requests to the dispatcher, and carries
-// out the steps that the dispatcher picks. It never decides what happens to a request, never leaves a
+// out the steps that the dispatcher picks. It never decides what happens to a request, except that it rejects
+// requests once a drain has lasted for drainRejectDelay, never leaves a
 // submitted request without its one response, and never submits a request with an invalid head.
 //
 // New creates a Server, Serve runs it, and Shutdown ends it once the listener is closed. Each connection has
