--- a/policy/latency_test.go
+++ b/policy/latency_test.go
@@ -145,3 +145,39 @@
 		t.Errorf("long after, the latency is taken for %.0f ms", h.engine.latency.Value/1e6)
 	}
 }
+
+// Fault: one late answer among quick ones put the last backend's own mean over the latency budget. With nothing
+// in flight nothing renewed it, and every request was rejected for seconds.
+func TestLatency_OneLateAnswerClosesNoBackend(t *testing.T) {
+	for _, test := range []struct{ usual, late int64 }{
+		{100_000, 10 * millisecond},
+		{100_000, 210 * millisecond},
+		{2 * millisecond, 200 * millisecond},
+		{10 * millisecond, 290 * millisecond},
+	} {
+		h := newHarnessWithoutCounter(t, readyEndpoints(1, 2)...)
+		answer := func(id int, latency int64) (backend BackendID) {
+			request := h.submit(RequestID(id), 0, 0, TenantID(id), 2*second, 1)
+			if len(request.attempts) != 1 {
+				return 0
+			}
+			h.advance(latency)
+			h.endAttempt(request, 0, Succeeded)
+			return request.attempts[0].endpoint.Backend
+		}
+		for n := range 400 {
+			answer(n, test.usual)
+			h.advance(2 * millisecond)
+		}
+		late := answer(400, test.late)
+		h.update(Delta, Endpoint{Backend: 3 - late, State: EndpointDraining})
+		h.advance(20 * millisecond)
+		for n := range 20 {
+			if answer(500+n, test.usual) == 0 {
+				t.Errorf("one answer of %d ns among some of %d: request %d is rejected", test.late, test.usual, n)
+				break
+			}
+			h.advance(10 * millisecond)
+		}
+	}
+}
--- a/policy/selection.go
+++ b/policy/selection.go
@@ -57,11 +57,15 @@
 	if float64(e.promptInFlight) >= min(2, 1+fairShare)+fairShare+1.3*e.throughput*budget/float64(second) {
 		return nil
 	}
-	var best *backend
+	var best, first *backend
 	minLoad := math.Inf(1)
 	for _, b := range e.ranked {
 		ejected := now < b.health.ejectedUntil || b.health.ejections > 0 && b.inFlight > 0
-		if ejected || !r.mayAttempt(now, b) || b.likelyLatency() > budget {
+		if ejected || !r.mayAttempt(now, b) {
+			continue
+		}
+		first = cmp.Or(first, b)
+		if b.likelyLatency() > budget {
 			continue
 		}
 		load := r.loadAt(b, 2) // backends tried before go last
@@ -72,6 +76,10 @@
 			best, minLoad = b, load
 		}
 	}
+	// With nothing in flight nothing is measured, and one late answer would close a backend until it is forgotten.
+	if best == nil && e.inFlight == 0 && e.latency.Value <= budget {
+		return first
+	}
 	return best
 }
 
