review: free ports below the system's outgoing ones

Cause: a port that a case had found free could be taken by an outgoing connection before a process listened there. Change: the cases look for ports from 11000 to 31000 and take none twice.

--- a/review/kit/case.go
+++ b/review/kit/case.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -34,13 +35,14 @@
 	mu     sync.Mutex
 	record *os.File
 	procs  []*Proc
+	ports  map[int]bool // returned by FreeAddress
 }
 
 type cannotRun struct{ reason string }
 
 // Run runs a case and exits with its status. body returns whether the rule was broken, and a sentence on it.
 func Run(body func(c *Case) (broken bool, verdict string)) {
-	c := &Case{began: time.Now(), Trouble: os.Getenv("TROUBLE") != "0"}
+	c := &Case{began: time.Now(), ports: map[int]bool{}, Trouble: os.Getenv("TROUBLE") != "0"}
 	c.Root = os.Getenv("CASE_ROOT")
 	var err error
 	if c.record, err = os.Create(os.Getenv("CASE_RECORD")); err != nil {
@@ -116,18 +118,32 @@
 	}
 }
 
-// FreeAddress returns a loopback address whose port is free for TCP and UDP.
+// Free ports are sought below those that the system gives to outgoing connections.
+const (
+	lowestPort  = 11000
+	highestPort = 31000
+)
+
+// FreeAddress returns a loopback address whose port is free for TCP and UDP and was not returned before.
 func (c *Case) FreeAddress() string {
-	for range 100 {
-		l, err := net.Listen("tcp4", "127.0.0.1:0")
-		c.Must(err, "find a free port")
-		address := l.Addr().String()
-		u, err := net.ListenPacket("udp4", address)
-		if err == nil {
-			u.Close()
+	for range 1000 {
+		port := lowestPort + rand.IntN(highestPort-lowestPort)
+		address := fmt.Sprintf("127.0.0.1:%d", port)
+		l, err := net.Listen("tcp4", address)
+		if err != nil {
+			continue
 		}
+		u, err := net.ListenPacket("udp4", address)
 		l.Close()
-		if err == nil {
+		if err != nil {
+			continue
+		}
+		u.Close()
+		c.mu.Lock()
+		taken := c.ports[port]
+		c.ports[port] = true
+		c.mu.Unlock()
+		if !taken {
 			return address
 		}
 	}
