--- a/review/3/main.go
+++ b/review/3/main.go
@@ -3,7 +3,8 @@
 
 import (
 	"fmt"
-	"os"
+	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -14,146 +15,160 @@
 
 const (
 	tenant = "0000000000000a01"
-	// stop is how long the leader's machine is silent. The pages cut a zone off for 6 s.
-	stop = 5500 * time.Millisecond
-	// reloadAfter is when SIGHUP comes, after the machine fell silent, and terminateAfter when SIGTERM comes after that.
-	reloadAfter    = 200 * time.Millisecond
-	terminateAfter = time.Second
-	// killAfter is the time from SIGTERM to SIGKILL. The pages ask for the longest deadline, 2.5 s, and 0.7 s at least.
-	killAfter = 3700 * time.Millisecond
-	// duty is the time after SIGTERM from which a request that SIGKILL finds unanswered is lost, by the protocol page.
-	duty = 700 * time.Millisecond
-	// clients is how many clients' connections there are, each with a request every requestGap and one at a time.
+	// The plan's ceiling: cap-rate, ceiling-burst and tolerance of the settings.
+	capRate      = 40.0
+	ceilingBurst = 20.0
+	tolerance    = 4.0
+	// yesWithin is the time in which the new process has to say yes.
+	yesWithin = 6 * time.Second
+	// killAfter is the time from SIGTERM to SIGKILL: the longest deadline and 0.7 s.
+	killAfter = 2500*time.Millisecond + 700*time.Millisecond
+	// clients is how many clients send to each front door at a time, each a request every requestGap.
 	clients    = 6
-	requestGap = 20 * time.Millisecond
-	// workTime is how long a backend works on a request.
-	workTime = 70 * time.Millisecond
+	requestGap = 70 * time.Millisecond
+	// requestsPerConnection is after how many requests a client opens a new connection.
+	requestsPerConnection = 6
 )
 
 func main() { kit.Run(run) }
 
 func run(c *kit.Case) (bool, string) {
 	serve := func(a kit.Attempt) kit.Answer {
-		return kit.Answer{After: workTime, Text: kit.OK("done " + a.ID)}
+		return kit.Answer{After: 20 * time.Millisecond, Text: kit.OK("done " + a.ID)}
 	}
 	var backends []*kit.Backend
-	for n := 1; n <= 4; n++ {
+	for n := 1; n <= 6; n++ {
 		backends = append(backends, c.NewBackend(fmt.Sprintf("n%d", n), serve))
 	}
-	zoneFile := c.WriteFile("calc.zone", kit.ZoneText(2026120101, backends[:3]...), 0o600)
-	discovery, counter := c.NewDiscovery(), c.NewCounter()
+	discovery, counter := c.NewDiscovery(backends...), c.NewCounter()
+	plan := kit.Plan("team", 1000, 2000)
+	plan["cap-rate"], plan["ceiling-burst"], plan["tolerance"] = capRate, ceilingBurst, tolerance
 
-	// Three front doors, each with a replica of the store, which holds the zone.
-	ids := []string{"a", "b", "c"}
-	replicas, peers := c.Replicas(ids...)
-	var doors []*kit.Proc
+	// Two front doors; each tenant's requests come in through both.
 	var listen []string
-	for i, id := range ids {
+	var starts []func(version, mgmt string) *kit.Proc
+	for i, id := range []string{"a", "b"} {
 		door := kit.Door{
-			Name: "d" + id, Listen: c.FreeAddress(), Discovery: discovery.Address, Counter: counter, Index: i, Count: len(ids),
+			Name: "d" + id, Listen: c.FreeAddress(), Discovery: discovery.Address, Counter: counter, Index: i, Count: 2,
 			Classes: []kit.Row{{"name": "draft", "effect": "read_like", "goal-time-ms": 750, "deadline-ms": 2500, "late-worth": 0}},
-			Plans:   []kit.Row{kit.Plan("team", 1000, 2000)},
+			Plans:   []kit.Row{plan},
 		}
 		config := c.WriteFile("d"+id+".json", door.JSON(), 0o600)
-		operator := c.Operator("operator-"+id+".toml", zoneFile, c.FreeAddress(), "")
 		listen = append(listen, door.Listen)
-		doors = append(doors, c.Start("door-"+id, fmt.Sprintf("exec bin/fawnplank serve --operator %s --store %s/%s --me %s --peers %s",
-			operator, c.Dir, id, replicas[i], peers), "GW_CONFIG="+config))
+		starts = append(starts, func(version, mgmt string) *kit.Proc {
+			return c.Start("door-"+id+"-"+version, "exec bin/fawnplank serve", "GW_CONFIG="+config, "GW_MGMT="+mgmt)
+		})
 	}
-	for i := range ids {
+	oldMgmt := []string{c.FreeAddress(), c.FreeAddress()}
+	old := []*kit.Proc{starts[0]("old", oldMgmt[0]), starts[1]("old", oldMgmt[1])}
+	for i := range listen {
+		c.WaitFor(10*time.Second, "yes from a front door", func() bool { return saysYes(oldMgmt[i]) })
 		kit.WaitForPong(c, listen[i])
-		c.WaitFor(20*time.Second, "the name server listens", func() bool { return len(doors[i].LogLines("zone=")) > 0 })
 	}
-	leader := c.WaitForLeader(20*time.Second, replicas)
-	ended := (leader + 1) % len(ids)
-	c.Log("leader %s; %s reloads and is ended", ids[leader], ids[ended])
-	load := startClients(c, listen[ended])
-	time.Sleep(time.Second)
+	time.Sleep(time.Second) // nobody sends: the ceiling's store is full
 
+	stop := send(c, listen)
+	time.Sleep(4 * time.Second)
 	if c.Trouble {
-		doors[leader].Signal(syscall.SIGSTOP)
-	}
-	silent := c.Now()
-	time.Sleep(reloadAfter)
-	// A new zone file, which adds a backend, is read at SIGHUP; then the front door is ended as at a planned restart.
-	c.Must(os.WriteFile(zoneFile, []byte(kit.ZoneText(2026120102, backends...)), 0o600), "write the zone file")
-	doors[ended].Signal(syscall.SIGHUP)
-	time.Sleep(terminateAfter)
-	doors[ended].Signal(syscall.SIGTERM)
-	terminated := c.Now()
-	var killed time.Duration
-	select {
-	case <-doors[ended].Done():
-		c.Log("the front door ended by itself %.3f s after SIGTERM", (c.Now() - terminated).Seconds())
-	case <-time.After(killAfter):
-		killed = c.Now()
-		doors[ended].Signal(syscall.SIGKILL)
-		<-doors[ended].Done()
-	}
-	if c.Trouble {
-		time.Sleep(stop - (c.Now() - silent))
-		doors[leader].Signal(syscall.SIGCONT)
-	}
-	unanswered := load()
-	for _, line := range doors[ended].LogLines("component=frontend") {
-		c.Log("log of the front door: %s", line)
-	}
-
-	lost := 0
-	for _, u := range unanswered {
-		if killed != 0 && u.sent > terminated+duty && u.sent < killed && u.ended >= killed {
-			lost++
-			c.Log("lost: request %s, sent %.3f s after SIGTERM, never answered", u.id, (u.sent - terminated).Seconds())
+		// A new version is started, of one front door after the other, beside the old process.
+		for i := range starts {
+			newMgmt := c.FreeAddress()
+			starts[i]("new", newMgmt)
+			c.WaitFor(yesWithin, "yes from the new process", func() bool { return saysYes(newMgmt) })
+			c.Log("the new process of front door %d says yes", i)
+			old[i].Signal(syscall.SIGTERM)
+			select {
+			case <-old[i].Done():
+			case <-time.After(killAfter):
+				old[i].Signal(syscall.SIGKILL)
+			}
+			time.Sleep(time.Second)
 		}
+	} else {
+		time.Sleep(3 * time.Second)
 	}
-	if killed == 0 {
-		return false, "the front door answered all that it had taken and ended before SIGKILL"
-	}
-	return lost > 0, fmt.Sprintf("%d requests that came more than %v after SIGTERM were never answered: the front door went on serving until SIGKILL, %v after SIGTERM",
-		lost, duty, killAfter)
+	time.Sleep(2 * time.Second)
+	stop()
+
+	lowest, at := lowestLevel(c, backends)
+	return lowest < -tolerance, fmt.Sprintf("the ceiling's store fell to %.1f units at %.3f s; it may fall to -%g", lowest, at.Seconds(), tolerance)
 }
 
-// request is a request without an answer.
-type request struct {
-	id          string
-	sent, ended time.Duration
+func saysYes(mgmt string) bool {
+	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	response, err := client.Get("http://" + mgmt + "/admin/health")
+	if err != nil {
+		return false
+	}
+	response.Body.Close()
+	return response.StatusCode/100 == 2
 }
 
-// startClients sends requests to a front door, on the connections that the clients have, until these end. The returned
-// function stops the clients and returns the requests without an answer.
-func startClients(c *kit.Case, address string) (stop func() []request) {
+// send sends more than the ceiling allows to both front doors until the returned function is called.
+func send(c *kit.Case, listen []string) (stop func()) {
 	var group sync.WaitGroup
 	var number atomic.Int64
-	var mu sync.Mutex
-	var unanswered []request
 	done := make(chan struct{})
-	for range clients {
-		client, err := c.Dial(address)
-		c.Must(err, "connect a client")
+	for i := range clients * len(listen) {
 		group.Go(func() {
-			defer client.Close()
-			for {
+			var client *kit.Client
+			for uses := 0; ; uses++ {
 				select {
 				case <-done:
 					return
 				case <-time.After(requestGap):
 				}
-				r := request{id: fmt.Sprintf("%016x", 0xc000+number.Add(1)), sent: c.Now()}
-				answer, err := client.Do(10*time.Second, "SVC.QUERY", tenant, r.id, "c=draft,t=team,d=2500,units=1,spread=3,first=0")
-				c.Log("client: %s, sent at %.3f s, answered %q %v", r.id, r.sent.Seconds(), answer, err)
-				if err != nil {
-					r.ended = c.Now()
-					mu.Lock()
-					unanswered = append(unanswered, r)
-					mu.Unlock()
-					return
+				if client != nil && uses >= requestsPerConnection {
+					client.Close()
+					client = nil
+				}
+				if client == nil {
+					var err error
+					if client, err = c.Dial(listen[i%len(listen)]); err != nil {
+						c.Log("client: %v", err)
+						client = nil
+						continue
+					}
+					uses = 0
+				}
+				id := fmt.Sprintf("%016x", 0xc000+number.Add(1))
+				answer, err := client.Do(4*time.Second, "SVC.QUERY", tenant, id, "c=draft,t=team,d=2500,units=1,spread=2,first=0")
+				c.Log("client: %s answered %q %v", id, answer, err)
+				if err != nil { // the front door closed the connection between requests
+					client.Close()
+					client = nil
 				}
 			}
 		})
 	}
-	return func() []request {
-		close(done)
-		group.Wait()
-		return unanswered
+	return func() { close(done); group.Wait() }
+}
+
+// lowestLevel replays the ceiling's store: full at the start, refilled at its rate, and lowered by a unit when the first
+// attempt of a request has come whole to a backend. It returns the lowest level and its time.
+func lowestLevel(c *kit.Case, backends []*kit.Backend) (lowest float64, at time.Duration) {
+	first := map[string]time.Duration{}
+	for _, b := range backends {
+		for _, a := range b.Attempts() {
+			if t, ok := first[a.ID]; !ok || a.At < t {
+				first[a.ID] = a.At
+			}
+		}
+	}
+	var moments []time.Duration
+	for _, t := range first {
+		moments = append(moments, t)
+	}
+	slices.Sort(moments)
+	level, last := ceilingBurst, time.Duration(0)
+	lowest = level
+	for _, t := range moments {
+		level = min(level+(t-last).Seconds()*capRate, ceilingBurst) - 1
+		last = t
+		c.Log("at %.3f s a request of the customer was first sent on; the ceiling's store holds %.2f", t.Seconds(), level)
+		if level < lowest {
+			lowest, at = level, t
+		}
 	}
+	return lowest, at
 }
--- a/review/kit/case.go
+++ b/review/kit/case.go
@@ -8,6 +8,7 @@
 	"net"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -53,6 +54,12 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(statusCannotRun)
 	}
+	interrupts := make(chan os.Signal, 1)
+	signal.Notify(interrupts, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
+	go func() {
+		<-interrupts
+		c.finish(statusCannotRun, "cannot run: interrupted")
+	}()
 	time.AfterFunc(timeLimit, func() {
 		c.finish(statusCannotRun, "cannot run: time limit")
 	})
