store, cmd/fawnplank: log what a gateway has of the store when it serves

Change: "listening" and "configuration reloaded" state the last command of the store's log that the replica has applied, and how many plans and classes it holds; "plans or classes changed" marks the moment at which the replica has applied an edit.

--- a/cmd/fawnplank/gateway_run.go
+++ b/cmd/fawnplank/gateway_run.go
@@ -23,7 +23,7 @@
 		"number":        g.configuration.Settings.InstanceIndex,
 		"instances":     g.configuration.Settings.Instances,
 		logging.Address: g.configuration.Listen,
-	}).Info("listening")
+	}).WithFields(g.replica.logFields()).Info("listening")
 	return g.handleEvents(ctx, serveEnded)
 }
 
--- a/cmd/fawnplank/reload.go
+++ b/cmd/fawnplank/reload.go
@@ -68,7 +68,7 @@
 		"discovery": merged.Discovery,
 		"counter":   merged.Counter,
 		"classes":   len(merged.Classes),
-	}).Info("configuration reloaded")
+	}).WithFields(g.replica.logFields()).Info("configuration reloaded")
 	if keys := restartKeys(g.configuration, updated); len(keys) > 0 {
 		logging.For(configComponent).WithField("keys", strings.Join(keys, ", ")).
 			Warn("configuration changes need a restart")
--- a/cmd/fawnplank/replica.go
+++ b/cmd/fawnplank/replica.go
@@ -7,8 +7,11 @@
 	"strings"
 	"syscall"
 
+	"github.com/sirupsen/logrus"
+
 	"fawnplank/internal/config"
 	"fawnplank/internal/dnsserver"
+	"fawnplank/internal/logging"
 	"fawnplank/internal/metrics"
 	"fawnplank/internal/store"
 	"fawnplank/internal/tlsconfig"
@@ -72,6 +75,7 @@
 		return strings.HasPrefix(key, config.PlanKeyPrefix) || strings.HasPrefix(key, config.ClassKeyPrefix)
 	}
 	if slices.ContainsFunc(keys, isRow) {
+		logging.For(storeComponent).Info("plans or classes changed")
 		select {
 		case edits <- struct{}{}:
 		default: // a value is already pending; its receiver will read this change too
@@ -130,3 +134,16 @@
 		Classes: r.ReadLocalPrefix(config.ClassKeyPrefix),
 	}
 }
+
+// logFields returns the fields that state which part of the store's log the gateway has applied, and how many plans and
+// classes of the store that part holds. Without a store there are none.
+func (r *replica) logFields() logrus.Fields {
+	if r == nil {
+		return logrus.Fields{}
+	}
+	overlay := r.overlay()
+	return logrus.Fields{
+		"store_index": r.AppliedIndex(),
+		"store_rows":  len(overlay.Plans) + len(overlay.Classes),
+	}
+}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -168,3 +168,10 @@
 	defer s.mu.RUnlock()
 	return s.state.Values(prefix)
 }
+
+// AppliedIndex returns the position in the log of the last command that this replica has applied to its state.
+func (s *Store) AppliedIndex() kv.Index {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.state.AppliedIndex()
+}
