A restarted gateway serves by the store's classes from its first request on

Change: a replica that starts fetches the state that the leader has confirmed with a majority, and reads see it until Raft has applied as much (store.Confirmed). A gateway waits for that before any part reads the store and before it opens its listener, 4 s at most. SIGTERM ends the wait. Why it works: the confirmed state includes every edit committed before the start.

Two tests that put a gateway together by hand construct its observers by the new step newObservers; what they check is unchanged.

--- a/cmd/fawnplank/closed_listener_test.go
+++ b/cmd/fawnplank/closed_listener_test.go
@@ -25,13 +25,13 @@
 	g.operator.LimitCommands.MaxConnections = 1
 	g.configuration.AddCheckOnlyClass(g.operator)
 	g.resourceLimits = newResourceLimits(g.configuration)
+	g.newObservers()
 	t.Cleanup(g.Close)
 	ctx := t.Context()
 	startErr := errors.Join(g.startDispatcher(ctx), g.loadEndpoints(ctx), g.listen(ctx))
 	if startErr != nil {
 		t.Fatal(startErr)
 	}
-	g.accounts = &accounts{}
 	if err := g.startLimits(ctx); err != nil {
 		t.Fatal(err)
 	}
--- a/cmd/fawnplank/command_serve.go
+++ b/cmd/fawnplank/command_serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"os"
 	"os/signal"
 	"syscall"
@@ -49,6 +50,9 @@
 		Reloads:      reloads,
 		Terminations: terminations,
 	})
+	if errors.Is(err, errTerminatedAtStart) {
+		return nil // no client has been served yet
+	}
 	if err != nil {
 		return err
 	}
--- a/cmd/fawnplank/gateway.go
+++ b/cmd/fawnplank/gateway.go
@@ -54,15 +54,18 @@
 	limitService *limitService
 	server       *frontend.Server
 	ready        atomic.Bool // true while the gateway is listening and not shutting down
+	// lateConfirmation is closed when the store's state is confirmed. It is nil without a store, and if the state was
+	// confirmed before the gateway read it.
+	lateConfirmation <-chan struct{}
 
 	// closers stop the started parts and are stored in the order of the starts. Close calls them in reverse order:
 	//
 	//	zone.Close                  stops the name server, unless a shutdown has stopped it, and notifications of changes
-	//	replica.Close               does nothing without a store
-	//	accounts.StopNotifications  stops notifications of changed keys, but not the billing service
 	//	listener.Close              closes the clients' listener, unless a shutdown has closed it
 	//	warmStart.Close             saves the warm-start state, if the operator file names a file for it
 	//	discovery.Close, counter.Close, pool.Close, dispatcher.Stop
+	//	replica.Close               does nothing without a store
+	//	accounts.StopNotifications  stops notifications of changed keys, but not the billing service
 	//
 	// Only beginShutdown stops the remaining parts, before Run returns: first the clients' connections, then
 	// limitService, then the billing service. The server of the management address runs until the process ends.
@@ -70,18 +73,21 @@
 }
 
 // newGateway reads the configuration, constructs all parts, and starts those that Run does not start. The order of the
-// steps matters. The endpoint list is loaded before the listener opens, so that backends are available to the first
-// request. The accounts are started before the first request is received, so that either every request is billed or
-// none is.
+// steps matters. The state of the store is confirmed before any part reads it, and before the listener opens, so that
+// no client waits on a connection meanwhile. The endpoint list is loaded before the listener opens, so that backends
+// are available to the first request. The accounts are started before the first request is received, so that either
+// every request is billed or none is.
 func newGateway(ctx context.Context, options gatewayOptions) (*gateway, error) {
 	g := &gateway{options: options}
 	steps := []func(context.Context) error{
 		g.load,
+		g.openReplica,
+		g.awaitStore,
+		g.loadStoredRows,
 		g.startDispatcher,
 		g.loadEndpoints,
 		g.startWarmStart,
 		g.listen,
-		g.openReplica,
 		g.startZone,
 		g.startAccounts,
 		g.startLimits,
--- a/cmd/fawnplank/gateway_load.go
+++ b/cmd/fawnplank/gateway_load.go
@@ -8,11 +8,11 @@
 
 	"fawnplank/internal/config"
 	"fawnplank/internal/logging"
+	"fawnplank/internal/metrics"
 )
 
 // load reads the configuration, and sets up the log and the runtime accordingly. The store is not open yet, so the
-// configuration lacks the plans and classes of the store. Run applies them when it receives the first value from
-// replica.Edits.
+// configuration lacks the plans and classes of the store, which loadStoredRows adds.
 func (g *gateway) load(context.Context) error {
 	configuration, operator, err := g.loadConfiguration(config.Overlay{})
 	if err != nil {
@@ -26,9 +26,17 @@
 	g.logConfiguration()
 	g.resourceLimits = newResourceLimits(configuration)
 	g.resourceLimits.limitRuntime()
+	g.newObservers()
 	return nil
 }
 
+// newObservers constructs the parts that the replica of the store notifies or reports to. They are started later.
+func (g *gateway) newObservers() {
+	g.metrics = metrics.New(classNames(g.configuration))
+	g.zone = newEndpointZone(g.operator.DNS)
+	g.accounts = newAccounts()
+}
+
 // loadConfiguration reads the configuration, with the plans and classes of an overlay, and the operator file.
 func (g *gateway) loadConfiguration(overlay config.Overlay) (*config.Config, *config.OperatorSettings, error) {
 	return loadConfiguration(g.options.ConfigFile, g.options.OperatorFile, overlay)
--- a/cmd/fawnplank/gateway_run.go
+++ b/cmd/fawnplank/gateway_run.go
@@ -36,6 +36,7 @@
 func (g *gateway) handleEvents(ctx context.Context, serveEnded <-chan error) error {
 	reloads := newReloader(g.readUpdatedConfiguration)
 	contextDone := ctx.Done()
+	lateConfirmation := g.lateConfirmation
 	var shutdownDone <-chan struct{} // nil until a shutdown begins
 	var acceptError error            // the reason for a shutdown without a signal
 	beginShutdown := func() {
@@ -55,6 +56,9 @@
 			return acceptError
 		case <-g.replica.Edits(): // a plan or class was edited in the store; handled like SIGHUP
 			reloads.request()
+		case <-lateConfirmation: // the classes of the store are known now
+			lateConfirmation = nil
+			reloads.request()
 		case <-g.options.Reloads:
 			reloads.request()
 		case result := <-reloads.results:
--- a/cmd/fawnplank/gateway_start.go
+++ b/cmd/fawnplank/gateway_start.go
@@ -17,10 +17,8 @@
 // uses these clients.
 func (g *gateway) startDispatcher(context.Context) error {
 	g.dispatcher = dispatch.New()
-	g.metrics = metrics.New(classNames(g.configuration))
 	g.pool = g.newPool()
 	g.counter = g.newCounter()
-	g.zone = newEndpointZone(g.operator.DNS)
 	g.discovery = g.newDiscovery()
 	metrics.AddGauges(g.metrics, g.counter, counterClientGauges)
 	metrics.AddGauges(g.metrics, g.dispatcher, quotaGauges)
@@ -116,7 +114,6 @@
 // openReplica starts the replica of the store, if the flags describe one, and connects the zone and the accounts to its
 // notifications of changes.
 func (g *gateway) openReplica(context.Context) error {
-	g.accounts = newAccounts()
 	replica, err := openReplica(replicaOptions{
 		Flags: g.options.Replica,
 		TLS:   g.options.TLS,
--- a/cmd/fawnplank/metrics.go
+++ b/cmd/fawnplank/metrics.go
@@ -78,6 +78,12 @@
 		Value: secondsUntilExpiry},
 }
 
+// replicaGauges are the metrics of the replica of the store.
+var replicaGauges = []metrics.Gauge[*replica]{
+	{Name: "store_confirmed", Help: "1 once the state of the store is confirmed by its leader",
+		Value: func(r *replica) float64 { return gaugeBool(r.isConfirmed()) }},
+}
+
 // replicaCertificateGauges are the metrics of the replica's TLS certificate.
 var replicaCertificateGauges = []metrics.Gauge[*tlsconfig.CertificateSource]{
 	{Name: "store_certificate_seconds", Help: "seconds until the certificate of the replica expires",
--- a/cmd/fawnplank/reload.go
+++ b/cmd/fawnplank/reload.go
@@ -113,7 +113,7 @@
 // exception is limits.answer_within: the class of limit commands is constructed from the new file, so that its latency
 // objective and deadline change, while the timeout of each check keeps its value from the start.
 func (g *gateway) readUpdatedConfiguration() (*config.Config, error) {
-	updated, operator, err := g.loadConfiguration(g.replica.overlay())
+	updated, operator, err := g.loadConfigurationWithStore()
 	if err != nil {
 		return nil, err
 	}
--- a/cmd/fawnplank/replica.go
+++ b/cmd/fawnplank/replica.go
@@ -101,9 +101,14 @@
 	return nil
 }
 
-// registerMetrics adds the metric for the remaining validity of the replica's certificate.
+// registerMetrics adds the metrics of the replica: whether its state is confirmed, and the remaining validity of its
+// certificate.
 func (r *replica) registerMetrics(registry *metrics.Registry) {
-	if r != nil && r.tls != nil {
+	if r == nil {
+		return
+	}
+	metrics.AddGauges(registry, r, replicaGauges)
+	if r.tls != nil {
 		metrics.AddGauges(registry, r.tls, replicaCertificateGauges)
 	}
 }
@@ -124,6 +129,20 @@
 	return r.edits
 }
 
+// isConfirmed reports whether the store's state is confirmed; see store.Store.Confirmed. Without a store nothing needs
+// a confirmation, and it returns true.
+func (r *replica) isConfirmed() bool {
+	if r == nil {
+		return true
+	}
+	select {
+	case <-r.Confirmed():
+		return true
+	default:
+		return false
+	}
+}
+
 // overlay returns the plans and classes that the store holds.
 func (r *replica) overlay() config.Overlay {
 	if r == nil {
--- a/cmd/fawnplank/shutdown_test.go
+++ b/cmd/fawnplank/shutdown_test.go
@@ -69,6 +69,7 @@
 		t.Fatal(err)
 	}
 	g.resourceLimits = newResourceLimits(g.configuration)
+	g.newObservers()
 	g.configuration.Counter = address
 	g.configuration.ConnectTimeout = time.Minute           // so that no health check times out during the test
 	g.configuration.Settings.DrainGrace = 10 * time.Minute // so that no discovery call times out either
--- a/internal/store/api.go
+++ b/internal/store/api.go
@@ -34,6 +34,8 @@
 const (
 	kvPath    = "/v1/kv"
 	editsPath = "/v1/edits"
+	// backupPath is the path that returns the leader's state; see fetchLeaderState.
+	backupPath = "/v1/backup"
 	// positionPath is the path that returns the position of a replica's log, even before its Raft runs; see rejoin.
 	positionPath = "/v1/witness"
 )
@@ -102,7 +104,7 @@
 		"GET /v1/status":                 s.handleStatus,
 		"POST /v1/peers":                 s.handleAddPeer,
 		"DELETE /v1/peers/{id}":          s.handleRemovePeer,
-		"GET /v1/backup":                 s.handleBackup,
+		"GET " + backupPath:              s.handleBackup,
 		"POST /v1/restore":               s.handleRestore,
 	} {
 		mux.Handle(pattern, s.bufferBody(handle))
--- a/internal/store/api_keys.go
+++ b/internal/store/api_keys.go
@@ -67,7 +67,7 @@
 func (s *Store) localKeys(prefix string) []string {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	return s.state.Keys(prefix)
+	return s.readableState().Keys(prefix)
 }
 
 // commitAndAnswer validates edits, commits them on the leader, and answers with their index.
--- /dev/null
+++ b/internal/store/confirmation.go
@@ -0,0 +1,140 @@
+package store
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"fawnplank/internal/logging"
+	"fawnplank/internal/store/kv"
+)
+
+const (
+	// confirmationRetryInterval is the time between two attempts to confirm the state.
+	confirmationRetryInterval = 50 * time.Millisecond
+	// minConfirmationTimeout bounds the first attempt. Each further attempt has twice the time of the one before, up to
+	// forwardTimeout: a leader that has fallen silent is soon replaced, and a large state needs more time.
+	minConfirmationTimeout = 500 * time.Millisecond
+)
+
+// Confirmed returns a channel that is closed once the state of this replica is known to include every command that was
+// committed before Open.
+//
+// The directory of a replica does not record which of its log entries are committed. Until the leader sends them
+// again, the state is that of the last snapshot, or empty; and a leader that has failed to reach this replica for a
+// while waits for up to ten seconds before it tries again. Therefore the replica fetches the leader's state when it
+// starts, and reads use that state until Raft has applied as much.
+//
+// While no leader with a quorum is in reach, the channel stays open and the attempts continue.
+func (s *Store) Confirmed() <-chan struct{} { return s.confirmed }
+
+// confirmState attempts to confirm the state until it succeeds or the store is closed.
+func (s *Store) confirmState() {
+	begin := time.Now()
+	timeout := minConfirmationTimeout
+	for {
+		err := s.attemptConfirmation(timeout)
+		if err == nil {
+			close(s.confirmed)
+			logging.For(logComponent).WithFields(logrus.Fields{
+				"store_index": s.AppliedIndex(),
+				"duration_ms": time.Since(begin).Milliseconds(),
+			}).Info("state confirmed")
+			return
+		}
+		logging.For(logComponent).WithError(err).Debug("state not confirmed")
+		timeout = min(2*timeout, forwardTimeout)
+		select {
+		case <-s.closed:
+			return
+		case <-time.After(confirmationRetryInterval):
+		}
+	}
+}
+
+// attemptConfirmation confirms the state: on the leader by a quorum, and on any other replica by fetching the leader's
+// state within the timeout.
+func (s *Store) attemptConfirmation(timeout time.Duration) error {
+	err := s.confirmLeadership()
+	if !errors.Is(err, errNotLeader) {
+		return err
+	}
+	_, address, err := s.leaderAPI()
+	if err != nil {
+		return err
+	}
+	ctx, cancel := s.contextUntilClosed(timeout)
+	defer cancel()
+	state, err := s.fetchLeaderState(ctx, address)
+	if err != nil {
+		return err
+	}
+	s.installLeaderState(state)
+	return nil
+}
+
+// contextUntilClosed returns a context that ends after the timeout, or when the store is closed.
+func (s *Store) contextUntilClosed(timeout time.Duration) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	go func() {
+		select {
+		case <-s.closed:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	return ctx, cancel
+}
+
+// fetchLeaderState returns the state of the leader whose API has the address. It includes every command that was
+// committed before the call, because the leader confirms its leadership before it answers.
+func (s *Store) fetchLeaderState(ctx context.Context, address string) (*kv.State, error) {
+	response, err := s.requestLeader(ctx, http.MethodGet, address, backupPath, nil)
+	if err != nil {
+		return nil, err
+	}
+	defer closeBody(response)
+	if response.StatusCode != http.StatusOK {
+		return nil, newStatusError(response)
+	}
+	content, err := io.ReadAll(response.Body)
+	if err != nil {
+		return nil, err
+	}
+	return kv.DecodeSnapshot(content)
+}
+
+// installLeaderState makes reads use the leader's state until Raft has applied as much on this replica, and reports the
+// keys of the state before and of the leader's state as changed.
+func (s *Store) installLeaderState(state *kv.State) {
+	s.mu.Lock()
+	if state.AppliedIndex() <= s.state.AppliedIndex() {
+		s.mu.Unlock()
+		return
+	}
+	keys := unionOfKeys(s.state, state)
+	s.leaderState = state
+	s.mu.Unlock()
+	s.reportChanged(keys)
+}
+
+// readableState returns the state that reads use: the newer of the state that Raft has applied and the one that was
+// fetched from the leader at the start. The caller holds mu.
+func (s *Store) readableState() *kv.State {
+	if s.leaderState != nil {
+		return s.leaderState
+	}
+	return s.state
+}
+
+// dropOutdatedLeaderState frees the state that was fetched from the leader once Raft has applied as much. The caller
+// holds mu for writing.
+func (s *Store) dropOutdatedLeaderState() {
+	if s.leaderState != nil && s.state.AppliedIndex() >= s.leaderState.AppliedIndex() {
+		s.leaderState = nil
+	}
+}
--- a/internal/store/fsm.go
+++ b/internal/store/fsm.go
@@ -23,10 +23,9 @@
 	index := kv.Index(entry.Index)
 	f.mu.Lock()
 	changed, err := f.state.Apply(index, entry.Data)
+	(*Store)(f).dropOutdatedLeaderState()
 	f.mu.Unlock()
-	if len(changed) > 0 && f.options.OnChange != nil {
-		f.options.OnChange(changed)
-	}
+	(*Store)(f).reportChanged(changed)
 	return applyResult{index: index, err: err}
 }
 
@@ -54,14 +53,20 @@
 	f.mu.Lock()
 	previous := f.state
 	f.state = state
+	(*Store)(f).dropOutdatedLeaderState()
 	f.mu.Unlock()
-	if f.options.OnChange != nil {
-		f.options.OnChange(unionOfKeys(previous, state))
-	}
+	(*Store)(f).reportChanged(unionOfKeys(previous, state))
 	return nil
 }
 
-// unionOfKeys returns the keys that are in the state before a snapshot was restored, in the state after it, or in both.
+// reportChanged calls Options.OnChange with the keys that have changed, if there are any.
+func (s *Store) reportChanged(keys []string) {
+	if len(keys) > 0 && s.options.OnChange != nil {
+		s.options.OnChange(keys)
+	}
+}
+
+// unionOfKeys returns the keys that are in the state before it was replaced, in the state after it, or in both.
 func unionOfKeys(before, after *kv.State) []string {
 	keys := after.Keys("")
 	for _, key := range before.Keys("") {
--- a/internal/store/raft.go
+++ b/internal/store/raft.go
@@ -146,6 +146,7 @@
 	s.raft = raftNode
 	s.mu.Unlock()
 	s.background.Go(func() { s.restriction.run(raftNode, s.closed) })
+	s.background.Go(s.confirmState)
 	// Close does not wait for this goroutine, because Raft never completes a write that is still in its queue when
 	// it shuts down.
 	go s.recordPeersOnElection()
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -7,9 +7,10 @@
 // not interpret values: the owner of the Store validates them with Options.Validate and is notified of changes through
 // Options.OnChange. All methods of an open Store may be called concurrently; Close may be called more than once.
 //
-// raft.go starts Raft, and rejoin.go compares the log with other replicas before that. leader.go contains the
-// operations that need the leader and a quorum: commits and linearizable reads. Every replica serves the other
-// operations from its own state; requests for the leader are forwarded to it (forward.go).
+// raft.go starts Raft, and rejoin.go compares the log with other replicas before that. After the start, confirmation.go
+// brings the state up to date with the leader's. leader.go contains the operations that need the leader and a quorum:
+// commits and linearizable reads. Every replica serves the other operations from its own state; requests for the leader
+// are forwarded to it (forward.go).
 package store
 
 import (
@@ -43,8 +44,8 @@
 	// the log. Edits that this process commits as the leader (Edit, and the peers' addresses) are not checked.
 	Validate func(key string, value json.RawMessage) error
 	// OnChange, if set, is called on every replica with the keys that changed, in the order of the log. After a
-	// snapshot has replaced the state, it is called with the keys of the old and the new state, which include the
-	// deleted keys. It must not block.
+	// snapshot, or the leader's state at the start (Confirmed), has replaced the state, it is called with the keys of
+	// the old and the new state, which include the deleted keys. It must not block. Calls may overlap.
 	OnChange func(keys []string)
 	// TLS, if set, secures the connections to both addresses of this replica and to those of the other replicas. Both
 	// sides of a connection present a certificate that was issued by the authority in TLS.
@@ -78,9 +79,12 @@
 	transport   *raft.NetworkTransport
 	restriction *voteRestriction
 
-	mu    sync.RWMutex // guards state, and raft until it is set
+	mu    sync.RWMutex // guards state and leaderState, and raft until it is set
 	raft  *raft.Raft   // nil while the replica starts; once isStarted is true, read without mu
-	state *kv.State
+	state *kv.State    // as applied by Raft; reads use readableState
+	// leaderState is the leader's state as fetched at the start. It is nil before that, and once Raft has applied as much.
+	leaderState *kv.State
+	confirmed   chan struct{} // closed once the state is confirmed; see Confirmed
 
 	listener net.Listener // listener of the API
 	server   *http.Server
@@ -101,7 +105,12 @@
 	if err := os.MkdirAll(options.Dir, dirMode); err != nil {
 		return nil, fmt.Errorf("store: %w", err)
 	}
-	s := &Store{options: options, state: kv.New(), closed: make(chan struct{})}
+	s := &Store{
+		options:   options,
+		state:     kv.New(),
+		confirmed: make(chan struct{}),
+		closed:    make(chan struct{}),
+	}
 	s.configureClient()
 	if err := s.open(); err != nil {
 		s.Close()
@@ -152,7 +161,7 @@
 func (s *Store) ReadLocal(key string) (kv.Entry, bool) {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	return s.state.Get(key)
+	return s.readableState().Get(key)
 }
 
 // ReadLocalValue reads a key's value in this replica's state, and reports whether the key exists; see ReadLocal.
@@ -166,12 +175,12 @@
 func (s *Store) ReadLocalPrefix(prefix string) map[string]json.RawMessage {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	return s.state.Values(prefix)
+	return s.readableState().Values(prefix)
 }
 
-// AppliedIndex returns the position in the log of the last command that this replica has applied to its state.
+// AppliedIndex returns the position in the log of the last command that the state read by ReadLocal includes.
 func (s *Store) AppliedIndex() kv.Index {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	return s.state.AppliedIndex()
+	return s.readableState().AppliedIndex()
 }
