A restarted gateway repeats nothing while a row of the store does not fit its file

Callers saw: where one row of the store does not fit a gateway's file, that gateway, once restarted, retried requests of a class that another row had made non-idempotent.

Cause: rows are applied all or nothing. A reload that fails keeps what is in force; at a start nothing is in force but the file.

--- a/cmd/fawnplank/gateway_store.go
+++ b/cmd/fawnplank/gateway_store.go
@@ -38,7 +38,8 @@
 }
 
 // loadStoredRows adds the plans and classes of the store to the configuration. If the store's state is not confirmed,
-// every class is assumed to be non-idempotent until a reload has applied the confirmed rows.
+// or if the rows cannot be applied to the gateway's own files, every class is assumed to be non-idempotent until a
+// reload has applied the confirmed rows.
 func (g *gateway) loadStoredRows(context.Context) error {
 	if g.replica == nil {
 		return nil
@@ -51,8 +52,9 @@
 	configuration, _, err := g.loadConfigurationWithStore()
 	if err != nil {
 		logging.For(configComponent).WithError(err).
-			Error("plans and classes of the store not applied")
+			Error("plans and classes of the store not applied; no request is retried that may have run")
 		g.metrics.ConfigRejected()
+		g.configuration.Settings = g.configuration.Settings.AssumeNonIdempotent()
 		return nil
 	}
 	g.configuration = configuration
--- a/cmd/fawnplank/store_restart_test.go
+++ b/cmd/fawnplank/store_restart_test.go
@@ -207,6 +207,30 @@
 	}
 }
 
+// TestRestart_InvalidStoreRowsRepeatNothing guards against requests that run twice because a gateway starts by its file
+// alone: one row of the store that does not fit its file keeps all of them from being applied.
+func TestRestart_InvalidStoreRowsRepeatNothing(t *testing.T) {
+	t.Parallel()
+	g := newRestartedGateway(t, "read_like")
+	g.editClass(t, "non_idempotent")
+	if err := g.others[0].put(t, "plans/gold", `{"name":"gold"}`); err != nil {
+		t.Fatal(err) // replicas without a gateway check nothing
+	}
+	g.startUntilServing(t)
+	if attempts := g.attemptsOfOneRequest(t); attempts != 1 {
+		t.Errorf("a request ran at %d backends", attempts)
+	}
+	g.waitUntilLogged(t, "plans and classes of the store not applied")
+	g.editClass(t, "read_like")
+	if err := g.others[0].put(t, "plans/gold", `{"name":"gold","quota-rate":5,"peak-units":10}`); err != nil {
+		t.Fatal(err)
+	}
+	g.waitUntilLogged(t, "configuration reloaded")
+	if attempts := g.attemptsOfOneRequest(t); attempts < 2 {
+		t.Errorf("once the rows are applied, a request of an idempotent class ran at %d backends", attempts)
+	}
+}
+
 // TestRestart_TerminationEndsWaitForStore guards against a gateway that does not act on SIGTERM while its start waits
 // for the store.
 func TestRestart_TerminationEndsWaitForStore(t *testing.T) {
