--- a/cmd/fawnplank/accounts_test.go
+++ b/cmd/fawnplank/accounts_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -324,3 +325,37 @@
 		expected, exported, receiver.lastSequence, fleet.kills, fleet.maxLostUnits, fleet.unanswered,
 		receiver.microUnitsByPlan)
 }
+
+// TestAccounts_PlanChangeHoldsAfterRestart guards against usage that is billed under the former plan. A restarted
+// gateway took requests without the plan changes of the store until the store's leader had sent it the log again.
+func TestAccounts_PlanChangeHoldsAfterRestart(t *testing.T) {
+	t.Parallel()
+	fleet := newBilledFleet(t)
+	const restarted = 1
+	for gateway := range fleet.limitsAddresses {
+		testutil.Eventually(t, "the accounts at both gateways", func() bool {
+			_, err := fleet.command(t, gateway, "changes", billedTenant)
+			return err == nil
+		})
+	}
+	fleet.changePlan(t)
+	fleet.replicas[restarted].kill()
+	time.Sleep(2600 * time.Millisecond) // the change is in force then
+	fleet.replicas[restarted].start(t, fleet.replicas)
+	testutil.Eventually(t, "a request to succeed at the restarted gateway", func() bool {
+		conn, err := tryDial(t, fleet.clientAddresses[restarted])
+		if err != nil {
+			return false
+		}
+		defer closeIgnoringError(conn)
+		return fleet.requestOnce(conn, bufio.NewReader(conn), 0, restarted) == nil && len(fleet.succeeded) > 0
+	})
+	testutil.Eventually(t, "the request's units to be exported", func() bool { return fleet.receiver.totalUnits() > 0 })
+	fleet.waitExported(t)
+	fleet.receiver.mu.Lock()
+	defer fleet.receiver.mu.Unlock()
+	want := map[string]int64{"large": requestUnits * 1e6}
+	if got := fleet.receiver.microUnitsByPlan; !maps.Equal(got, want) {
+		t.Errorf("billed %v, want %v", got, want)
+	}
+}
