dnsserver: a zone file that the store does not accept is tried again

Cause: adoptZoneFile dropped the file when the store refused it.

Close marks the server as closed before it waits, so that no retry starts later.

--- a/internal/dnsserver/reload.go
+++ b/internal/dnsserver/reload.go
@@ -27,11 +27,20 @@
 	logging.For(component).WithError(err).Error("zone file rejected")
 }
 
-// adoptZoneFile replaces the current zone with a newly read file if the file's serial is newer. The caller holds the
-// lock.
+// adoptZoneFile replaces the current zone with a newly read file if the file's serial is newer. If the store does not
+// accept the file, the attempts are repeated in the background. The caller holds the lock.
 func (s *Server) adoptZoneFile(file zoneFile, nowNanos int64) {
+	s.pendingFile = nil // the latest file counts
+	if err := s.attemptAdoption(file, nowNanos); err != nil && s.storage() == storageReplicated {
+		s.retryAdoption(file)
+	}
+}
+
+// attemptAdoption makes one attempt to replace the current zone with a file whose serial is newer. It returns an error
+// only if the file could not be stored. The caller holds the lock.
+func (s *Server) attemptAdoption(file zoneFile, nowNanos int64) error {
 	if file.checksum == s.fileSum { // the file has not changed since it was adopted
-		return
+		return nil
 	}
 	log := logging.For(component).
 		WithField("file", s.options.ZoneFile).
@@ -39,15 +48,18 @@
 		WithField("in_force", s.zone.Serial())
 	if !dnszone.SerialNewer(file.zone.Serial(), s.zone.Serial()) {
 		log.Error("zone file ignored: serial not newer")
-		return
+		return nil
 	}
 	newZone := file.zone.WithStartTimesOf(s.zone, nowNanos)
 	if err := s.storeReplacement(newZone, file.checksum); err != nil {
-		log.WithError(err).Error("zone file not stored")
-		return
+		if s.pendingFile == nil { // only the first of several attempts
+			log.WithError(err).Error("zone file not stored")
+		}
+		return err
 	}
 	log.WithField("updates_superseded", len(s.changes)).Info("zone file adopted")
 	s.install(&storedZone{zone: newZone, fileSum: file.checksum}, asDifference)
+	return nil
 }
 
 // storeReplacement stores the zone of a file that replaces the current zone. The caller holds the lock.
--- a/internal/dnsserver/replicated_zone_test.go
+++ b/internal/dnsserver/replicated_zone_test.go
@@ -151,6 +151,37 @@
 	}
 }
 
+// TestZoneFile_IsStoredOnceLeaderReturns guards against a newer zone file that never takes effect, so that a backend
+// which it withdraws goes on getting requests. A file that was read while the store had no leader, at the start or by
+// Reload, was not tried again.
+func TestZoneFile_IsStoredOnceLeaderReturns(t *testing.T) {
+	store := &fakeStore{}
+	servers := startReplicas(t, store)
+	store.setLeaderless(true)
+	replica := newFakeReplica(store)
+	replica.run(t)
+	testutil.Eventually(t, "the stored zone at the replica", func() bool {
+		_, found := replica.ReadLocal(headKey)
+		return found
+	})
+	options := newOptions(t, zoneFileText(90, 1))
+	options.ReplicatedStore = &ReplicatedZone{replica}
+	started := mustStart(t, options)
+	replica.setOnApplied(func() { go started.HandleStoreChange() })
+	if serial := started.Serial(); serial != 7 {
+		t.Errorf("serial %d without a leader, want 7", serial)
+	}
+	store.setLeaderless(false)
+	servers = append(servers, started)
+	eventuallyAllHave(t, "the file of the start at all servers", servers, 90, 1)
+
+	store.setLeaderless(true)
+	writeFile(t, servers[1].startOptions.ZoneFile, zoneFileText(91, 3))
+	servers[1].Reload()
+	store.setLeaderless(false)
+	eventuallyAllHave(t, "the reloaded file at all servers", servers, 91, 3)
+}
+
 // TestServer_ReplicatesUpdates sends concurrent updates to three replicas. All replicas apply each update once. Without
 // a leader, an update is answered with SERVFAIL and no replica applies it.
 func TestServer_ReplicatesUpdates(t *testing.T) {
--- a/internal/dnsserver/server.go
+++ b/internal/dnsserver/server.go
@@ -34,6 +34,9 @@
 	journal       *journal          // nil if no journal is used, or another process has locked it
 	replayGuard   *dnszone.ReplayGuard
 	serialChanged []chan struct{} // one for each secondary
+	pendingFile   *zoneFile       // a zone file that the store has not accepted yet; see retryAdoption
+	retryingFile  bool            // whether adoptPendingFile runs
+	closed        bool
 	listeners     []*dns.Server
 	address       string
 
@@ -46,7 +49,7 @@
 
 	closing            chan struct{} // closed by Close
 	closeOnce          sync.Once
-	startupGoroutine   sync.WaitGroup // the goroutine that waits for the journal or the store
+	startupGoroutine   sync.WaitGroup // the goroutines that wait for the journal or the store
 	listenerGoroutines sync.WaitGroup // the goroutines started by serve
 }
 
@@ -96,7 +99,10 @@
 	}
 	s.closeOnce.Do(func() {
 		close(s.closing)
-		s.startupGoroutine.Wait() // the startup goroutine may be about to listen
+		s.mu.Lock()
+		s.closed = true // no goroutine is added to startupGoroutine from here on
+		s.mu.Unlock()
+		s.startupGoroutine.Wait() // a startup goroutine may be about to listen
 		s.mu.Lock()
 		listeners := s.listeners
 		s.mu.Unlock()
