--- a/internal/store/confirmation_test.go
+++ b/internal/store/confirmation_test.go
@@ -1,6 +1,8 @@
 package store
 
 import (
+	"encoding/json"
+	"net/http"
 	"os"
 	"path/filepath"
 	"slices"
@@ -135,3 +137,27 @@
 		t.Errorf("keys reported as changed: %v", reported)
 	}
 }
+
+// TestConfirmed_AddedReplicaWaitsForCluster guards against a replica without peers that takes its empty state for the
+// cluster's before it is added.
+func TestConfirmed_AddedReplicaWaitsForCluster(t *testing.T) {
+	c := newCluster(t, nil)
+	c.writeUntilCommitted("a", "k", "1")
+	added := newPeer(t, "d")
+	replica, err := Open(Options{Dir: filepath.Join(c.dir, "d"), Self: added, TimeoutUnit: testTimeoutUnit})
+	failOnError(t, err)
+	c.running["d"] = replica
+	select {
+	case <-replica.Confirmed():
+		t.Error("confirmed before the replica was added")
+	case <-time.After(300 * time.Millisecond):
+	}
+	body, err := json.Marshal(added)
+	failOnError(t, err)
+	c.eventually("the replica to be added", func() bool {
+		status, _ := c.callAPI(c.leader(), "POST", "/v1/peers", string(body))
+		return status == http.StatusOK
+	})
+	c.awaitConfirmation(replica)
+	expectValues(t, replica, map[string]string{"k": "1"})
+}
