store: Close does not wait for the confirmation of the state

A replica that ends while it asks the quorum to confirm its leadership would not end before SIGKILL.

Cause: Close waited for the confirmation's goroutine, and Raft never completes a barrier that is in its queue when it shuts down.

Change: Close does not wait for that goroutine, as it does not for the one that records the peers' addresses, and only a leader asks the quorum.

--- a/internal/store/confirmation.go
+++ b/internal/store/confirmation.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"net/http"
 	"time"
@@ -59,9 +58,8 @@
 // attemptConfirmation confirms the state: on the leader by a quorum, and on any other replica by fetching the leader's
 // state within the timeout.
 func (s *Store) attemptConfirmation(timeout time.Duration) error {
-	err := s.confirmLeadership()
-	if !errors.Is(err, errNotLeader) {
-		return err
+	if s.isLeader() {
+		return s.confirmLeadership()
 	}
 	_, address, err := s.leaderAPI()
 	if err != nil {
--- a/internal/store/confirmation_test.go
+++ b/internal/store/confirmation_test.go
@@ -161,3 +161,25 @@
 	c.awaitConfirmation(replica)
 	expectValues(t, replica, map[string]string{"k": "1"})
 }
+
+// TestConfirmed_CloseDoesNotWaitForQuorum guards against a Close that never returns. Raft never completes a barrier
+// that is in its queue when it shuts down, and Close waited for the confirmation that had asked for it.
+func TestConfirmed_CloseDoesNotWaitForQuorum(t *testing.T) {
+	const closeTimeout = 5 * time.Second
+	for n := range 100 {
+		peer := newPeer(t, "a")
+		replica, err := Open(Options{Dir: t.TempDir(), Self: peer, Peers: []Peer{peer}, TimeoutUnit: 10 * time.Millisecond})
+		failOnError(t, err)
+		time.Sleep(time.Duration(20+n%40) * time.Millisecond) // around the election, when the confirmation asks the quorum
+		closed := make(chan struct{})
+		go func() {
+			replica.Close()
+			close(closed)
+		}()
+		select {
+		case <-closed:
+		case <-time.After(closeTimeout):
+			t.Fatalf("Close did not return within %v", closeTimeout)
+		}
+	}
+}
--- a/internal/store/raft.go
+++ b/internal/store/raft.go
@@ -146,9 +146,9 @@
 	s.raft = raftNode
 	s.mu.Unlock()
 	s.background.Go(func() { s.restriction.run(raftNode, s.closed) })
-	s.background.Go(s.confirmState)
-	// Close does not wait for this goroutine, because Raft never completes a write that is still in its queue when
-	// it shuts down.
+	// Close does not wait for these goroutines, because Raft never completes a write or a barrier that is still in its
+	// queue when it shuts down.
 	go s.recordPeersOnElection()
+	go s.confirmState()
 	return nil
 }
