store: edits reach a replica that was away before the log does

Cause: the Raft library's leader waits after each failed attempt to reach a replica, doubling up to 10.24 s, also after the replica is back. The leader's state was fetched once.

Change: while reads use the fetched state it is fetched again every half second. Only keys whose entries differ are reported as changed, since all accounts would be decoded again otherwise.

--- a/internal/store/confirmation.go
+++ b/internal/store/confirmation.go
@@ -18,6 +18,8 @@
 	// minConfirmationTimeout bounds the first attempt. Each further attempt has twice the time of the one before, up to
 	// forwardTimeout: a leader that has fallen silent is soon replaced, and a large state needs more time.
 	minConfirmationTimeout = 500 * time.Millisecond
+	// leaderStateRefreshInterval is the time between two fetches of the leader's state until Raft has applied as much.
+	leaderStateRefreshInterval = 500 * time.Millisecond
 )
 
 // Confirmed returns a channel that is closed once the state of this replica is known to include every command that was
@@ -26,12 +28,13 @@
 // The directory of a replica does not record which of its log entries are committed. Until the leader sends them
 // again, the state is that of the last snapshot, or empty; and a leader that has failed to reach this replica for a
 // while waits for up to ten seconds before it tries again. Therefore the replica fetches the leader's state when it
-// starts, and reads use that state until Raft has applied as much.
+// starts, and again every leaderStateRefreshInterval, and reads use that state until Raft has applied as much.
 //
 // While no leader with a quorum is in reach, the channel stays open and the attempts continue.
 func (s *Store) Confirmed() <-chan struct{} { return s.confirmed }
 
-// confirmState attempts to confirm the state until it succeeds or the store is closed.
+// confirmState attempts to confirm the state until it succeeds or the store is closed. It then keeps the leader's state
+// up to date for as long as reads use it.
 func (s *Store) confirmState() {
 	begin := time.Now()
 	timeout := minConfirmationTimeout
@@ -43,18 +46,37 @@
 				"store_index": s.AppliedIndex(),
 				"duration_ms": time.Since(begin).Milliseconds(),
 			}).Info("state confirmed")
+			s.refreshLeaderState()
 			return
 		}
 		logging.For(logComponent).WithError(err).Debug("state not confirmed")
 		timeout = min(2*timeout, forwardTimeout)
-		select {
-		case <-s.closed:
+		if !s.pause(confirmationRetryInterval) {
 			return
-		case <-time.After(confirmationRetryInterval):
 		}
 	}
 }
 
+// refreshLeaderState fetches the leader's state again until Raft has applied as much or the store is closed. Otherwise
+// an edit that is committed meanwhile would reach this replica only when the leader sends the log again.
+func (s *Store) refreshLeaderState() {
+	for s.usesLeaderState() && s.pause(leaderStateRefreshInterval) {
+		if err := s.attemptConfirmation(forwardTimeout); err != nil {
+			logging.For(logComponent).WithError(err).Debug("leader's state not fetched")
+		}
+	}
+}
+
+// pause waits for a duration. It returns false at once if the store is closed meanwhile.
+func (s *Store) pause(duration time.Duration) bool {
+	select {
+	case <-s.closed:
+		return false
+	case <-time.After(duration):
+		return true
+	}
+}
+
 // attemptConfirmation confirms the state: on the leader by a quorum, and on any other replica by fetching the leader's
 // state within the timeout.
 func (s *Store) attemptConfirmation(timeout time.Duration) error {
@@ -107,14 +129,14 @@
 }
 
 // installLeaderState makes reads use the leader's state until Raft has applied as much on this replica, and reports the
-// keys of the state before and of the leader's state as changed.
+// keys that it changes.
 func (s *Store) installLeaderState(state *kv.State) {
 	s.mu.Lock()
-	if state.AppliedIndex() <= s.state.AppliedIndex() {
+	if state.AppliedIndex() <= s.readableState().AppliedIndex() {
 		s.mu.Unlock()
 		return
 	}
-	keys := unionOfKeys(s.state, state)
+	keys := changedKeys(s.readableState(), state)
 	s.leaderState = state
 	s.mu.Unlock()
 	s.reportChanged(keys)
@@ -129,6 +151,12 @@
 	return s.state
 }
 
+func (s *Store) usesLeaderState() bool {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.leaderState != nil
+}
+
 // dropOutdatedLeaderState frees the state that was fetched from the leader once Raft has applied as much. The caller
 // holds mu for writing.
 func (s *Store) dropOutdatedLeaderState() {
--- a/internal/store/confirmation_test.go
+++ b/internal/store/confirmation_test.go
@@ -162,6 +162,33 @@
 	expectValues(t, replica, map[string]string{"k": "1"})
 }
 
+// TestConfirmed_LaterEditsArriveBeforeLog guards against a replica that is late with edits made after its start. A
+// leader that has failed to reach a replica for some seconds waits for as long before it sends the log again.
+func TestConfirmed_LaterEditsArriveBeforeLog(t *testing.T) {
+	const (
+		absence  = 2700 * time.Millisecond // the leader's next attempt comes some five seconds after the stop
+		maxDelay = 1500 * time.Millisecond
+	)
+	c := newCluster(t, nil)
+	leader := c.leader()
+	stopped := c.followers(leader)[0]
+	c.writeUntilCommitted(leader, "k", "1")
+	c.stop(stopped)
+	time.Sleep(absence)
+	replica := c.start(stopped)
+	c.awaitConfirmation(replica)
+	c.writeUntilCommitted(leader, "k", "2")
+	edited := time.Now()
+	c.eventually("the edit at the replica", func() bool {
+		value, _ := replica.ReadLocalValue("k")
+		return string(value) == "2"
+	})
+	if delay := time.Since(edited); delay > maxDelay {
+		t.Errorf("the edit arrived after %v", delay)
+	}
+	c.awaitConvergence()
+}
+
 // TestConfirmed_CloseDoesNotWaitForQuorum guards against a Close that never returns. Raft never completes a barrier
 // that is in its queue when it shuts down, and Close waited for the confirmation that had asked for it.
 func TestConfirmed_CloseDoesNotWaitForQuorum(t *testing.T) {
--- a/internal/store/fsm.go
+++ b/internal/store/fsm.go
@@ -55,7 +55,7 @@
 	f.state = state
 	(*Store)(f).dropOutdatedLeaderState()
 	f.mu.Unlock()
-	(*Store)(f).reportChanged(unionOfKeys(previous, state))
+	(*Store)(f).reportChanged(changedKeys(previous, state))
 	return nil
 }
 
@@ -66,15 +66,22 @@
 	}
 }
 
-// unionOfKeys returns the keys that are in the state before it was replaced, in the state after it, or in both.
-func unionOfKeys(before, after *kv.State) []string {
-	keys := after.Keys("")
+// changedKeys returns the keys whose entries differ between the state before it was replaced and the state after it,
+// which include the deleted keys.
+func changedKeys(before, after *kv.State) []string {
+	var changed []string
+	for _, key := range after.Keys("") {
+		entry, _ := after.Get(key)
+		if previous, found := before.Get(key); !found || previous.Index != entry.Index {
+			changed = append(changed, key)
+		}
+	}
 	for _, key := range before.Keys("") {
 		if _, found := after.Get(key); !found {
-			keys = append(keys, key)
+			changed = append(changed, key)
 		}
 	}
-	return keys
+	return changed
 }
 
 // fsmSnapshot is an encoded snapshot, as returned by kv.State.Snapshot.
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -44,8 +44,8 @@
 	// the log. Edits that this process commits as the leader (Edit, and the peers' addresses) are not checked.
 	Validate func(key string, value json.RawMessage) error
 	// OnChange, if set, is called on every replica with the keys that changed, in the order of the log. After a
-	// snapshot, or the leader's state at the start (Confirmed), has replaced the state, it is called with the keys of
-	// the old and the new state, which include the deleted keys. It must not block. Calls may overlap.
+	// snapshot, or the leader's state after the start (Confirmed), has replaced the state, it is called with the keys
+	// whose entries differ, which include the deleted keys. It must not block. Calls may overlap.
 	OnChange func(keys []string)
 	// TLS, if set, secures the connections to both addresses of this replica and to those of the other replicas. Both
 	// sides of a connection present a certificate that was issued by the authority in TLS.
@@ -82,7 +82,7 @@
 	mu    sync.RWMutex // guards state and leaderState, and raft until it is set
 	raft  *raft.Raft   // nil while the replica starts; once isStarted is true, read without mu
 	state *kv.State    // as applied by Raft; reads use readableState
-	// leaderState is the leader's state as fetched at the start. It is nil before that, and once Raft has applied as much.
+	// leaderState is the leader's state as fetched last. It is nil before that, and once Raft has applied as much.
 	leaderState *kv.State
 	confirmed   chan struct{} // closed once the state is confirmed; see Confirmed
 
