--- a/cmd/fawnplank/testdata/wallclock.c
+++ b/cmd/fawnplank/testdata/wallclock.c
@@ -15,6 +15,11 @@
 
 static volatile int64_t *offset_seconds;
 
+/* What depends on the kind of machine: the system call itself, the name of the vDSO's function, the memory that is made
+ * writable, and the jump that is written there. */
+#if defined(__x86_64__)
+#define VDSO_CLOCK_GETTIME "__vdso_clock_gettime"
+
 static long raw_clock_gettime(long clock, struct timespec *now)
 {
 	long result;
@@ -22,6 +27,54 @@
 	return result;
 }
 
+static int make_writable(uintptr_t entry)
+{
+	uintptr_t page = entry & ~(uintptr_t)4095;
+	return mprotect((void *)page, 8192, PROT_READ | PROT_WRITE | PROT_EXEC);
+}
+
+static void write_jump(uintptr_t entry, uintptr_t target)
+{
+	uint8_t jump[12] = {0x48, 0xb8, 0, 0, 0, 0, 0, 0, 0, 0, 0xff, 0xe0}; /* mov rax, address; jmp rax */
+	memcpy(jump + 2, &target, sizeof target);
+	memcpy((void *)entry, jump, sizeof jump);
+}
+#elif defined(__aarch64__)
+#define VDSO_CLOCK_GETTIME "__kernel_clock_gettime"
+
+static long raw_clock_gettime(long clock, struct timespec *now)
+{
+	register long number __asm__("x8") = SYS_clock_gettime;
+	register long first __asm__("x0") = clock;
+	register struct timespec *second __asm__("x1") = now;
+	__asm__ volatile("svc #0" : "+r"(first) : "r"(number), "r"(second) : "memory");
+	return first;
+}
+
+/* A mapping of the vDSO cannot be split, so that all of it becomes writable. */
+static int make_writable(uintptr_t entry)
+{
+	uintptr_t base = getauxval(AT_SYSINFO_EHDR), last = entry;
+	const Elf64_Ehdr *header = (const void *)base;
+	const Elf64_Phdr *program = (const void *)(base + header->e_phoff);
+	uintptr_t size = (uintptr_t)sysconf(_SC_PAGESIZE);
+	for (int n = 0; n < header->e_phnum; n++)
+		if (program[n].p_type == PT_LOAD)
+			last = base + program[n].p_offset + program[n].p_memsz - 1;
+	return mprotect((void *)base, (last / size + 1) * size - base, PROT_READ | PROT_WRITE | PROT_EXEC);
+}
+
+static void write_jump(uintptr_t entry, uintptr_t target)
+{
+	uint32_t jump[4] = {0x58000050, 0xd61f0200}; /* ldr x16, the address 8 bytes on; br x16 */
+	memcpy(jump + 2, &target, sizeof target);
+	memcpy((void *)entry, jump, sizeof jump);
+	__builtin___clear_cache((char *)entry, (char *)entry + sizeof jump);
+}
+#else
+#error "no jump for this kind of machine"
+#endif
+
 static int stepped_clock_gettime(clockid_t clock, struct timespec *now)
 {
 	long result = raw_clock_gettime(clock, now);
@@ -61,16 +114,12 @@
 __attribute__((constructor)) static void install(void)
 {
 	const char *path = getenv("WALLCLOCK_OFFSET");
-	uintptr_t entry = find_symbol(getauxval(AT_SYSINFO_EHDR), "__vdso_clock_gettime");
+	uintptr_t entry = find_symbol(getauxval(AT_SYSINFO_EHDR), VDSO_CLOCK_GETTIME);
 	int file = path ? open(path, O_RDONLY) : -1;
 	if (!entry || file < 0)
 		abort();
 	offset_seconds = mmap(NULL, 8, PROT_READ, MAP_SHARED, file, 0);
-	uintptr_t page = entry & ~(uintptr_t)4095;
-	if (offset_seconds == MAP_FAILED || mprotect((void *)page, 8192, PROT_READ | PROT_WRITE | PROT_EXEC) != 0)
+	if (offset_seconds == MAP_FAILED || make_writable(entry) != 0)
 		abort();
-	uint8_t jump[12] = {0x48, 0xb8, 0, 0, 0, 0, 0, 0, 0, 0, 0xff, 0xe0}; /* mov rax, address; jmp rax */
-	uintptr_t target = (uintptr_t)stepped_clock_gettime;
-	memcpy(jump + 2, &target, sizeof target);
-	memcpy((void *)entry, jump, sizeof jump);
+	write_jump(entry, (uintptr_t)stepped_clock_gettime);
 }
