--- a/review/kit2/receiver.go
+++ b/review/kit2/receiver.go
@@ -24,16 +24,12 @@
 	address string
 
 	mu      sync.Mutex
-	moved   bool              // the old path answers every call with a redirect to the new one
 	batches map[string]string // the lines of each batch, by idempotency key
 	last    uint64
 	micros  map[string]int64 // by tenant
 }
 
-const (
-	oldPath = "/use"
-	newPath = "/v2/use"
-)
+const usePath = "/use"
 
 func (w *world) startReceiver() *receiver {
 	r := &receiver{world: w, address: w.freeAddress(), batches: map[string]string{}, micros: map[string]int64{}}
@@ -42,13 +38,6 @@
 	return r
 }
 
-func (r *receiver) setMoved(moved bool) {
-	r.world.note("receiver: moved %v", moved)
-	r.mu.Lock()
-	r.moved = moved
-	r.mu.Unlock()
-}
-
 func (r *receiver) serve(out http.ResponseWriter, request *http.Request) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -57,8 +46,6 @@
 		return
 	}
 	switch {
-	case r.moved && request.URL.Path == oldPath:
-		r.answer(out, request, http.StatusMovedPermanently, "")
 	case request.Method == http.MethodGet:
 		r.answer(out, request, http.StatusOK, fmt.Sprintf("{\"last\": %d}", r.last))
 	case request.Method == http.MethodPost:
@@ -95,9 +82,6 @@
 func (r *receiver) answer(out http.ResponseWriter, request *http.Request, status int, body string) {
 	key := request.Header.Get("Idempotency-Key")
 	r.world.note("receiver: %s %s %s -> %d %s", request.Method, request.URL.Path, key, status, body)
-	if status == http.StatusMovedPermanently {
-		out.Header().Set("Location", "http://"+r.address+newPath)
-	}
 	out.WriteHeader(status)
 	_, _ = io.WriteString(out, body)
 }
@@ -108,3 +92,10 @@
 	defer r.mu.Unlock()
 	return float64(r.micros[tenant]) / 1e6
 }
+
+// lastSequence returns the last sequence number that the receiver has.
+func (r *receiver) lastSequence() uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.last
+}
