review: case 10 sends 2,100 updates; a signal ends a case with its processes

A case that was stopped by a signal left its processes.

Change: 2,100 updates at up to 70 a second (100 are allowed), and a handler of SIGTERM and SIGINT in the stand-ins.

--- a/review/kit2/case_zonefile.go
+++ b/review/kit2/case_zonefile.go
@@ -12,8 +12,8 @@
 
 const (
 	// updatesPerSecond is below the 100 a second that the operators' page allows by default.
-	updatesPerSecond = 40
-	manyUpdates      = 1020
+	updatesPerSecond = 70
+	manyUpdates      = 2100
 	fewUpdates       = 20
 	// toldAfter is when what discovery has counts as told after SIGHUP.
 	toldAfter = 4 * time.Second
--- a/review/kit2/world.go
+++ b/review/kit2/world.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"regexp"
 	"runtime"
@@ -69,9 +70,14 @@
 
 // close ends all processes that are still running, and removes the folder. With KEEP=1 the folder stays.
 func (w *world) close() {
-	for _, p := range w.procs {
+	w.mu.Lock()
+	procs := w.procs
+	w.mu.Unlock()
+	for _, p := range procs {
 		p.kill()
 	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	w.record.Close()
 	if os.Getenv("KEEP") == "" {
 		os.RemoveAll(w.dir)
@@ -141,7 +147,9 @@
 		panic(errNotRun{err.Error()})
 	}
 	p := &proc{world: w, name: name, cmd: cmd, ended: make(chan struct{})}
+	w.mu.Lock()
 	w.procs = append(w.procs, p)
+	w.mu.Unlock()
 	w.note("%s: started, process %d: %s", name, cmd.Process.Pid, strings.ReplaceAll(command, w.dir, "DIR"))
 	go func() {
 		state, _ := cmd.Process.Wait()
@@ -249,9 +257,13 @@
 			status <- 0
 		}
 	}()
+	stopped := make(chan os.Signal, 1)
+	signal.Notify(stopped, syscall.SIGTERM, os.Interrupt)
 	result := 2
 	select {
 	case result = <-status:
+	case <-stopped:
+		w.note("could not run: stopped by a signal")
 	case <-time.After(timeLimit):
 		w.note("could not run: the time is up")
 	}
