backend: the time told to a backend is read when its first byte is written

What callers saw: an attempt that needed a new connection stated the time that was left before the dial, which may last for the whole connect timeout.

Cause: pendingCommand.run built the command, with d, before Pool.Send.

Change: backend.Command builds its parts after the dial and Attempt.Start.

--- a/internal/backend/attempt_writer.go
+++ b/internal/backend/attempt_writer.go
@@ -9,7 +9,7 @@
 
 // write writes an attempt, unless the attempt was canceled. It also handles a connection that ends or a response that
 // arrives before the write is complete. A request that is not completely written has not run.
-func (c *conn) write(attempt *dispatch.Attempt, command [][]byte) {
+func (c *conn) write(attempt *dispatch.Attempt, command Command) {
 	started, err := c.startWrite(attempt)
 	if err != nil {
 		reportNotConnected(attempt, err)
@@ -18,9 +18,10 @@
 	if !started {
 		return
 	}
-	size := commandBytes(command)
+	parts := command.Parts(attempt.Remaining())
+	size := commandBytes(parts)
 	progress := dispatch.Writing
-	written, err := c.socket.WriteBuffers(command...)
+	written, err := c.socket.WriteBuffers(parts...)
 	if written == size {
 		progress = dispatch.Written
 	}
@@ -30,9 +31,9 @@
 }
 
 // commandBytes returns the size in bytes of a command in parts.
-func commandBytes(command [][]byte) int64 {
+func commandBytes(parts [][]byte) int64 {
 	size := int64(0)
-	for _, part := range command {
+	for _, part := range parts {
 		size += int64(len(part))
 	}
 	return size
--- /dev/null
+++ b/internal/backend/command_test.go
@@ -0,0 +1,8 @@
+package backend
+
+import "time"
+
+// fixedCommand is a command that does not state the remaining time.
+type fixedCommand string
+
+func (f fixedCommand) Parts(time.Duration) [][]byte { return [][]byte{[]byte(f)} }
--- a/internal/backend/connection_test.go
+++ b/internal/backend/connection_test.go
@@ -62,7 +62,7 @@
 				t.Fatalf("acquired before the change: step %+v, connection %v, error %v", step, c, err)
 			}
 			change(p)
-			c.write(step.Attempt, [][]byte{[]byte(ping)})
+			c.write(step.Attempt, fixedCommand(ping))
 			if finalStep := request.NextStep(); finalStep.Action != dispatch.Reject { // the attempt was not sent
 				t.Errorf("%+v", finalStep)
 			}
@@ -78,6 +78,12 @@
 
 // submitRequest submits a request with at most one attempt to a new dispatcher whose only backend is 1.
 func submitRequest(t *testing.T) *dispatch.Request {
+	t.Helper()
+	return submitRequestFor(t, time.Second)
+}
+
+// submitRequestFor is submitRequest for a client that waits for the given time.
+func submitRequestFor(t *testing.T, remaining time.Duration) *dispatch.Request {
 	t.Helper()
 	dispatcher := dispatch.New()
 	dispatcher.Start(dispatch.Config{Seed: 9, Settings: policy.Settings{
@@ -87,11 +93,11 @@
 		OverloadMultiple: 2,
 		OverloadWindow:   1e9,
 		Plans:            []policy.PlanSettings{{}},
-		Classes:          []policy.ClassSettings{{LatencyObjective: 1e9, Deadline: 1e9}},
+		Classes:          []policy.ClassSettings{{LatencyObjective: remaining, Deadline: remaining}},
 	}})
 	t.Cleanup(dispatcher.Stop)
 	dispatcher.UpdateEndpoints(policy.FullSnapshot, []policy.Endpoint{{Backend: 1, State: policy.EndpointReady}})
-	return dispatcher.Submit(dispatch.RequestSpec{Tenant: 1, Remaining: time.Second, Units: 1, EntryPoints: 1})
+	return dispatcher.Submit(dispatch.RequestSpec{Tenant: 1, Remaining: remaining, Units: 1, EntryPoints: 1})
 }
 
 // TestConn_AbandonClosesSendingSide checks that abandoning an attempt closes the sending side of its connection
--- a/internal/backend/dial.go
+++ b/internal/backend/dial.go
@@ -10,7 +10,7 @@
 )
 
 // dialAndWrite opens the connection for which acquire took a slot and writes the attempt to it.
-func (p *Pool) dialAndWrite(target *endpoint, attempt *dispatch.Attempt, command [][]byte) {
+func (p *Pool) dialAndWrite(target *endpoint, attempt *dispatch.Attempt, command Command) {
 	defer recoverPanic()
 	c, err := p.dial(target)
 	if err != nil {
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -113,9 +113,17 @@
 	return true
 }
 
-// Send sends an attempt. command holds the parts of its command, which must not change until the attempt has
-// ended. Send waits neither for a connection nor for a response; the result is reported with Attempt.Report.
-func (p *Pool) Send(attempt *dispatch.Attempt, command [][]byte) {
+// Command is the command of an attempt.
+type Command interface {
+	// Parts returns the parts of the command, which are written in order, for an attempt whose result the dispatcher
+	// awaits for the remaining time. It is called when the first byte is about to be written. The parts must not change
+	// until the attempt has ended.
+	Parts(remaining time.Duration) [][]byte
+}
+
+// Send sends an attempt. Send waits neither for a connection nor for a response; the result is reported with
+// Attempt.Report.
+func (p *Pool) Send(attempt *dispatch.Attempt, command Command) {
 	c, target, err := p.acquire(attempt.Backend)
 	if err != nil {
 		reportNotConnected(attempt, err)
--- a/internal/backend/pool_test.go
+++ b/internal/backend/pool_test.go
@@ -231,7 +231,7 @@
 	address, conns := startBackend(t, "")
 	p.SetAddress(1, address)
 	request := submitRequest(t)
-	p.Send(request.NextStep().Attempt, [][]byte{[]byte(ping)})
+	p.Send(request.NextStep().Attempt, fixedCommand(ping))
 	remote := readPing(t, conns)
 	p.CheckHealth(1)
 	readPing(t, conns)
--- a/internal/frontend/request.go
+++ b/internal/frontend/request.go
@@ -98,7 +98,7 @@
 			p.handleFinalStep(step)
 			return
 		}
-		p.connection.server.pool.Send(step.Attempt, p.withRewrittenDeadline(step.Attempt.Remaining()))
+		p.connection.server.pool.Send(step.Attempt, p)
 	}
 }
 
--- a/internal/frontend/request_rewrite.go
+++ b/internal/frontend/request_rewrite.go
@@ -24,10 +24,9 @@
 	return span{begin: begin, end: begin + len(part)}
 }
 
-// withRewrittenDeadline returns the command with the value of d replaced by remaining, the time for which the
-// dispatcher waits for the attempt. The value is in whole milliseconds and at least 1. The command is returned in parts
-// that are to be written in order.
-func (p *pendingCommand) withRewrittenDeadline(remaining time.Duration) [][]byte {
+// Parts implements backend.Command. It returns the command with the value of d replaced by remaining, the time for which
+// the dispatcher waits for the attempt. The value is in whole milliseconds and at least 1.
+func (p *pendingCommand) Parts(remaining time.Duration) [][]byte {
 	milliseconds := max(int64(remaining/time.Millisecond), 1)
 	value := strconv.AppendInt(make([]byte, 0, maxIntegerLineBytes), milliseconds, decimalBase)
 	fieldsLength := p.fields.size() + len(value) - p.remaining.size()
