frontend: the wait before a request is read is taken off its time

Cause: only a pause after an invalid command counted, and only for bytes that had been read. The wait for memory, the same pause for bytes in the socket, and the wait of a connection for a slot or in the backlog did not. A connection that had waited was also the first to be evicted, as silent.

Change: arrivalClock bounds from below when a command's last byte arrived: the reader asks how many bytes are unread before each read and wait, the accept loop whether a connection is waiting.

--- a/internal/frontend/accept.go
+++ b/internal/frontend/accept.go
@@ -26,7 +26,7 @@
 		if err != nil {
 			return
 		}
-		s.addConnection(conn)
+		s.addConnection(conn, listener.EarliestArrival())
 	}
 }
 
@@ -53,10 +53,10 @@
 	return listener != nil && listener.Failing()
 }
 
-// addConnection starts to serve an accepted connection. If too many connections are open, it first waits until an idle
-// one can be closed.
-func (s *Server) addConnection(accepted net.Conn) {
-	c, err := newConnection(s, accepted.(*net.TCPConn))
+// addConnection starts to serve an accepted connection, which arrived at the given time or later. If too many
+// connections are open, it first waits until an idle one can be closed.
+func (s *Server) addConnection(accepted net.Conn, arrivedAfter time.Time) {
+	c, err := newConnection(s, accepted.(*net.TCPConn), arrivedAfter)
 	if err != nil { // the connection has ended already
 		_ = accepted.Close() // nothing was read or written that could be lost
 		return
@@ -70,6 +70,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.makeConnectionCapacity()
+	c.startServing(time.Now())
 	s.connections[c] = struct{}{}
 	s.acceptedConnections.Add(1)
 	if s.closesIdleConnections() {
--- a/internal/frontend/backpressure.go
+++ b/internal/frontend/backpressure.go
@@ -15,13 +15,8 @@
 // enqueue appends a command to the pending commands once there is capacity for it. It returns false if the client has
 // disconnected or the input is closed.
 func (c *connection) enqueue(p *pendingCommand) bool {
-	c.mu.Lock()
+	c.lockForEnqueue()
 	defer c.mu.Unlock()
-	if c.isPendingFull() {
-		c.mu.Unlock() // awaitPendingCapacity acquires it
-		c.awaitPendingCapacity()
-		c.mu.Lock()
-	}
 	if c.peer.isGone() || c.isInputClosed() {
 		return false
 	}
@@ -33,12 +28,20 @@
 	return true
 }
 
-// awaitPendingCapacity waits until another command may become pending or the client has disconnected. It keeps a client
-// that sends commands faster than they are answered from exhausting the memory. The caller must not hold mu.
-func (c *connection) awaitPendingCapacity() {
+// lockForEnqueue locks mu once another command may become pending or the client has disconnected. The limit keeps a
+// client that sends commands faster than they are answered from exhausting the memory. mu itself may be held for as long
+// as an earlier response is written.
+func (c *connection) lockForEnqueue() {
+	if c.mu.TryLock() {
+		if !c.isPendingFull() {
+			return
+		}
+		c.mu.Unlock() // waitWhile acquires it
+	}
 	start := time.Now()
 	c.waitWhile(readerAwaitsPendingCapacity, c.isPendingFull)
-	c.reader.pendingCapacityWait += time.Since(start)
+	c.mu.Lock()
+	c.reader.arrivals.recordOrderedWait(time.Since(start))
 }
 
 // isPendingFull reports whether no further command may become pending. The caller holds mu. While the connection is
--- a/internal/frontend/client_gone.go
+++ b/internal/frontend/client_gone.go
@@ -40,6 +40,7 @@
 // goroutine has ended.
 func (c *connection) waitWatchingHangUp(activity readerActivity, wait func()) {
 	defer c.activity.enter(activity)()
+	c.markArrivals() // what arrives during the wait has not arrived before it
 	var waitEnded atomic.Bool
 	watchEnded := make(chan struct{})
 	go func() {
--- a/internal/frontend/connection.go
+++ b/internal/frontend/connection.go
@@ -64,14 +64,12 @@
 	reader reader // used only by the goroutine of readLoop
 }
 
-// newConnection returns a connection that awaits its first command. It fails if the accepted connection is already
-// closed.
-func newConnection(s *Server, accepted *net.TCPConn) (*connection, error) {
-	now := time.Now()
+// newConnection returns a connection that arrived at the given time or later and awaits its first command. It fails if
+// the accepted connection is already closed.
+func newConnection(s *Server, accepted *net.TCPConn, arrivedAfter time.Time) (*connection, error) {
 	c := &connection{
-		server:     s,
-		acceptedAt: now,
-		idleSince:  now,
+		server: s,
+		reader: reader{arrivals: newArrivalClock(arrivedAfter)},
 	}
 	conn, err := sock.New(accepted, sock.Options{ReadGuard: c})
 	if err != nil {
@@ -83,6 +81,13 @@
 	return c, nil
 }
 
+// startServing sets the time from which the client has to send its first command. It is called before the reader starts,
+// and after any wait for capacity: a client whose connection waited is not silent.
+func (c *connection) startServing(now time.Time) {
+	c.acceptedAt = now
+	c.idleSince = now
+}
+
 // cleanUp closes the connection when its reader ends, and cancels its open requests.
 func (c *connection) cleanUp() {
 	c.close()
--- a/internal/frontend/invalid_command_pause.go
+++ b/internal/frontend/invalid_command_pause.go
@@ -17,9 +17,7 @@
 		return
 	}
 	pause := min(time.Duration(c.reader.invalidCommandCount)*invalidCommandPauseStep, maxInvalidCommandPause)
-	start := time.Now()
 	c.waitWatchingHangUp(readerPauses, func() { c.sleep(pause) })
-	c.reader.invalidCommandPause += time.Since(start)
 }
 
 // sleep waits for the duration, or until the client has disconnected or the connection is closing.
--- a/internal/frontend/reader.go
+++ b/internal/frontend/reader.go
@@ -13,13 +13,12 @@
 // reader is the state of the goroutine that reads a connection. No other goroutine accesses it.
 type reader struct {
 	buffer              []byte
-	bufferedBytes       int           // number of bytes of an incomplete command at the start of buffer
-	args                [][]byte      // the arguments of the last command, pointing into buffer
-	invalidCommandCount int           // commands answered by respondInvalid, which excludes rejections during a drain
-	invalidCommandPause time.Duration // pauses after invalid commands since the last read
-	pendingCapacityWait time.Duration // waits for capacity among the pending commands since the last read
-	budgetedBytes       int64         // bytes acquired from the memory budget for buffer
-	bufferTransferred   bool          // a large pending command has taken over buffer
+	bufferedBytes       int          // number of bytes of an incomplete command at the start of buffer
+	args                [][]byte     // the arguments of the last command, pointing into buffer
+	invalidCommandCount int          // commands answered by respondInvalid, which excludes rejections during a drain
+	arrivals            arrivalClock // when the bytes of the next command arrived
+	budgetedBytes       int64        // bytes acquired from the memory budget for buffer
+	bufferTransferred   bool         // a large pending command has taken over buffer
 }
 
 // readLoop reads and handles commands until the connection ends.
@@ -50,6 +49,7 @@
 	for {
 		c.inputHandled()
 		c.shutDownIfClosing()
+		c.markArrivals()
 		count, err := c.conn.Read(r.buffer[r.bufferedBytes:])
 		switch {
 		case c.isInputClosed():
@@ -63,8 +63,7 @@
 			return false
 		default:
 			r.bufferedBytes += count
-			r.invalidCommandPause = 0
-			r.pendingCapacityWait = 0
+			r.arrivals.recordRead(count, c.conn.LastReadWaited(), time.Now())
 			return true
 		}
 	}
@@ -85,6 +84,7 @@
 		if size == 0 {
 			return rest, true
 		}
+		r.arrivals.recordHandled(size)
 		valid := c.handleCommand(rest[:size], args)
 		if c.isClientGone() {
 			return nil, false
@@ -108,12 +108,7 @@
 	return err.Error()
 }
 
-// waitSinceRead returns the time to subtract from the remaining time that a request states: the pauses since its bytes
-// were read. While the connection is closing, it includes the wait for capacity, during which the client's deadline
-// approaches too: a graceful close has to end by the deadlines of the open requests.
-func (c *connection) waitSinceRead() time.Duration {
-	if c.closing.Load() {
-		return c.reader.invalidCommandPause + c.reader.pendingCapacityWait
-	}
-	return c.reader.invalidCommandPause
+// waitSinceArrival returns the time to subtract from the remaining time that the last command states.
+func (c *connection) waitSinceArrival() time.Duration {
+	return c.reader.arrivals.waitSince(time.Now(), c.closing.Load())
 }
--- a/internal/frontend/request.go
+++ b/internal/frontend/request.go
@@ -80,7 +80,7 @@
 		Class:         head.class,
 		Plan:          plan,
 		Tenant:        head.tenant,
-		Remaining:     head.remaining - c.waitSinceRead(),
+		Remaining:     head.remaining - c.waitSinceArrival(),
 		Units:         head.units,
 		EntryPoints:   head.entryPoints,
 		FirstInstance: head.firstInstance,
--- a/internal/retryaccept/retryaccept_test.go
+++ b/internal/retryaccept/retryaccept_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"fawnplank/internal/testutil"
 )
 
 // scriptedListener returns the given results, one for each call of Accept, and then net.ErrClosed.
@@ -61,3 +63,37 @@
 		}
 	})
 }
+
+// A connection that waits to be accepted has arrived after the last accept that found none waiting.
+func TestListener_EarliestArrivalOfWaitingConnections(t *testing.T) {
+	listener := New(testutil.Listen(t), "test")
+	dial := func() {
+		t.Helper()
+		conn, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = conn.Close() })
+	}
+	accept := func() time.Time {
+		t.Helper()
+		conn, err := listener.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = conn.Close()
+		return listener.EarliestArrival()
+	}
+	time.AfterFunc(2*backlogAcceptTime, dial)
+	first := accept()
+	dial()
+	time.Sleep(10 * backlogAcceptTime)
+	if second := accept(); second != first {
+		t.Errorf("a connection that was waiting arrived %v after the last accept that waited, want 0", second.Sub(first))
+	}
+	start := time.Now()
+	time.AfterFunc(2*backlogAcceptTime, dial)
+	if third := accept(); third.Before(start) {
+		t.Error("a connection for which the accept waited seems to have arrived before it")
+	}
+}
