frontend: a request that finds no memory is rejected in time, and not cut off

Cause: the wait for memory was bounded by commandTimeout alone.

Change: the head is parsed while the body is missing. At half of the request's time the part that was read is dropped; the rest is read and discarded, and the answer is -BUSY. The connection stays open.

--- a/internal/frontend/command_timeout.go
+++ b/internal/frontend/command_timeout.go
@@ -45,10 +45,15 @@
 func (c *connection) recordCommandProgress(rest []byte) {
 	startsCommand := c.commandWaitStartAgeNanos.Load() == 0 && len(rest) > 0
 	if startsCommand || len(rest) > minBufferBytes {
-		c.commandWaitStartAgeNanos.Store(int64(time.Since(c.acceptedAt)))
+		c.restartCommandWait()
 	}
 }
 
+// restartCommandWait starts the wait for the rest of a command anew.
+func (c *connection) restartCommandWait() {
+	c.commandWaitStartAgeNanos.Store(int64(time.Since(c.acceptedAt)))
+}
+
 // recordValidCommand records that a valid command has arrived, so that no command is awaited until a part of the next
 // one arrives. An invalid command does not end the wait for a valid one, which stays limited by commandTimeout.
 func (c *connection) recordValidCommand() {
--- a/internal/frontend/commands.go
+++ b/internal/frontend/commands.go
@@ -11,9 +11,10 @@
 	if bytes.ContainsFunc(args[0], unicode.IsLower) { // rare, and ToUpper allocates
 		args[0] = bytes.ToUpper(args[0])
 	}
-	switch string(args[0]) {
-	case "SVC.QUERY", "SVC.SUBMIT":
+	if isRequestName(args[0]) {
 		return c.handleRequest(raw, args)
+	}
+	switch string(args[0]) {
 	case "PING":
 		c.answerPing()
 	case "CLIENT", "SELECT":
@@ -24,3 +25,8 @@
 	}
 	return true
 }
+
+// isRequestName reports whether a command with the given name, in upper case, is a request.
+func isRequestName(name []byte) bool {
+	return string(name) == "SVC.QUERY" || string(name) == "SVC.SUBMIT"
+}
--- a/internal/frontend/reader.go
+++ b/internal/frontend/reader.go
@@ -19,6 +19,7 @@
 	arrivals            arrivalClock // when the bytes of the next command arrived
 	budgetedBytes       int64        // bytes acquired from the memory budget for buffer
 	bufferTransferred   bool         // a large pending command has taken over buffer
+	refused             refusedCommand
 }
 
 // readLoop reads and handles commands until the connection ends.
@@ -32,7 +33,7 @@
 	r := &c.reader
 	r.buffer = make([]byte, minBufferBytes)
 	for c.fill() {
-		rest, ok := c.handleCommands(r.buffer[:r.bufferedBytes])
+		rest, ok := c.handleCommands(c.skipRefused(r.buffer[:r.bufferedBytes]))
 		if !ok {
 			return
 		}
--- a/internal/frontend/reader_buffer.go
+++ b/internal/frontend/reader_buffer.go
@@ -30,7 +30,7 @@
 		}
 	}
 	r.bufferedBytes = copy(r.buffer, rest)
-	c.hasPartialCommand.Store(r.bufferedBytes > 0)
+	c.hasPartialCommand.Store(r.bufferedBytes > 0 || r.refused.isActive())
 	switch {
 	case r.bufferedBytes == len(r.buffer):
 		return c.growBuffer()
@@ -50,13 +50,31 @@
 	}
 	size := len(r.buffer)
 	grown := min(2*size, maxCommandBytes)
-	if grown > maxUnbudgetedBytes && !c.acquireBudget(grown-max(size, maxUnbudgetedBytes)) {
-		return false
+	if grown > maxUnbudgetedBytes {
+		if acquired, ok := c.acquireForGrowth(grown - max(size, maxUnbudgetedBytes)); !acquired {
+			return ok
+		}
 	}
 	r.buffer = append(r.buffer, make([]byte, grown-size)...)
 	return true
 }
 
+// acquireForGrowth acquires bytes from the memory budget for the rest of a command. If they are not available in time,
+// acquired is false: a request is then being refused, and for any other command the connection has to end, which ok
+// states.
+func (c *connection) acquireForGrowth(bytes int) (acquired, ok bool) {
+	request, isRequest := c.parseIncompleteRequest()
+	if !isRequest {
+		acquired = c.acquireBudget(bytes)
+		return acquired, acquired
+	}
+	if c.tryAcquireBudget(bytes, c.memoryWaitLimit(&request)) {
+		return true, true
+	}
+	c.startRefusal(&request)
+	return false, true
+}
+
 // detachFromBuffer makes a command independent of the reader's buffer, which the reader reuses for the next command.
 // The bytes of a small command are copied. A large command takes over the buffer, and the reader allocates a new one.
 func (c *connection) detachFromBuffer(p *pendingCommand) {
@@ -69,21 +87,26 @@
 	c.reader.bufferTransferred = true
 }
 
-// acquireBudget acquires bytes from the memory budget for a larger buffer, so that large commands together do not
-// exceed the memory of the process. It waits for commandTimeout at most, as long as a command may take to arrive. If
-// the bytes are not available in time, it closes the connection with an error and returns false.
+// acquireBudget acquires bytes from the memory budget for a larger buffer. It waits for commandTimeout at most, as long
+// as a command may take to arrive. If the bytes are not available in time, it closes the connection with an error and
+// returns false.
 func (c *connection) acquireBudget(bytes int) bool {
+	if c.tryAcquireBudget(bytes, commandTimeout) {
+		return true
+	}
+	c.closeWithError("busy: no room for a large value")
+	return false
+}
+
+// tryAcquireBudget acquires bytes from the memory budget for a larger buffer, so that large commands together do not
+// exceed the memory of the process. It returns false if the bytes are not available within the given time.
+func (c *connection) tryAcquireBudget(bytes int, timeout time.Duration) (ok bool) {
 	var acquired int64
-	var ok bool
 	c.waitWatchingHangUp(readerAwaitsMemory, func() {
-		acquired, ok = c.server.memoryBudget.Acquire(int64(bytes), time.Now().Add(commandTimeout))
+		acquired, ok = c.server.memoryBudget.Acquire(int64(bytes), time.Now().Add(timeout))
 	})
-	if !ok {
-		c.closeWithError("busy: no room for a large value")
-		return false
-	}
 	c.reader.budgetedBytes += acquired
-	return true
+	return ok
 }
 
 // releaseBudget returns the bytes acquired for the reader's buffer to the memory budget.
--- a/internal/resp/resp.go
+++ b/internal/resp/resp.go
@@ -117,6 +117,44 @@
 	return offset, args, nil
 }
 
+// IncompleteCommand describes the beginning of a command.
+type IncompleteCommand struct {
+	// Args are the arguments that are complete, with the command's name as the first. They are slices of the input.
+	Args [][]byte
+	// LeastSize is the least size that the whole command can have by the lengths received so far, in bytes. It is
+	// above the size of the input.
+	LeastSize int
+	// OnlyLastMissing means that the length of the last argument has been received and that all arguments before it are
+	// complete, so that LeastSize is the size of the command.
+	OnlyLastMissing bool
+}
+
+// ParseIncompleteCommand returns what is known of the incomplete command at the beginning of input. It reuses the memory
+// of args. Any error is a *ProtocolError.
+func ParseIncompleteCommand(input []byte, args [][]byte) (IncompleteCommand, error) {
+	size, args, err := ParseCommand(input, args)
+	if err != nil || size > 0 {
+		return IncompleteCommand{Args: args, LeastSize: size}, err
+	}
+	incomplete := IncompleteCommand{Args: args, LeastSize: len(input) + 1}
+	count, _ := ParseLength(input, '*', maxArguments)
+	offset := count.Size
+	for range args {
+		arg, _ := ParseBulkString(input[offset:])
+		offset += arg.Size
+	}
+	if offset == len(input) {
+		return incomplete, nil
+	}
+	length, _ := ParseLength(input[offset:], '$', MaxValueBytes)
+	if !length.IsComplete() {
+		return incomplete, nil
+	}
+	incomplete.LeastSize = offset + length.Size + length.Value + len(lineTerminator)
+	incomplete.OnlyLastMissing = len(args) == count.Value-1
+	return incomplete, nil
+}
+
 // BulkString is a bulk string. The zero value represents an incomplete bulk string.
 type BulkString struct {
 	Payload []byte // a slice of the parsed input; nil if the bulk string is null
