billing: resume drops restored reports and ends restored reservations

Cause: use stands in the store as reports until it is added to accounts, and Resume dropped only numbered records and windows. Restored reservations could be committed once more; and the replica that Resume read from may not have applied the whole restore.

Change: Resume first waits until its replica has applied a write of its own. Of windows that began before the stated moment it drops the items in reports, the use in accounts, and the reservations. Later items stay.

--- a/cmd/fawnplank/command_billing.go
+++ b/cmd/fawnplank/command_billing.go
@@ -138,8 +138,8 @@
 	command := &cobra.Command{
 		Use: "resume", Short: "Resume the export after the store was restored from an old backup", Args: cobra.NoArgs,
 		Long: `Continues the export with sequence numbers after the last one that the receiver has. Drops the usage of
-windows that began before --drop-before, because the lost state may have exported it already and it must not be billed
-twice. Stop the gateways first; "fawnplank store run" runs the replica that --store names.`,
+windows that began before --drop-before, in accounts and in reports, because the lost state may have exported it already
+and it must not be billed twice. Ends the reservations in these windows, because they may be committed already. Stop the gateways first; "fawnplank store run" runs the replica that --store names.`,
 		Example: "  fawnplank billing resume --store 127.0.0.1:7101 --after 812 --drop-before 2026-04-01T12:00:00Z",
 		RunE: func(command *cobra.Command, _ []string) error {
 			return r.run(command.OutOrStdout(), globals.storeClient(r.store, "--store"))
@@ -163,7 +163,8 @@
 	if err = cmp.Or(client.readFailure.Err(), err); err != nil {
 		return err
 	}
-	_, err = fmt.Fprintf(out, "%d records and %d windows dropped; the next sequence follows %d\n",
-		dropped.Records, dropped.Windows, r.after)
+	_, err = fmt.Fprintf(out, "%d records, %d windows and %d items of reports dropped, %d reservations ended; "+
+		"the next sequence follows %d\n",
+		dropped.Records, dropped.Windows, dropped.ReportItems, dropped.Reservations, r.after)
 	return err
 }
--- a/internal/billing/reservation.go
+++ b/internal/billing/reservation.go
@@ -188,6 +188,20 @@
 	a.EndedReservations[id] = nowNanos + endedRetentionLeases*settings.MaxLeaseNanos
 }
 
+// EndReservationsBefore ends the reservations in windows that began before a time (unix ns), and returns their number.
+// Each id is retained until the reservation's lease expires.
+func (a Account) EndReservationsBefore(beforeNanos int64) (Account, int) {
+	countBefore := len(a.Reservations)
+	a = a.clone()
+	for id, reservation := range a.Reservations {
+		if reservation.WindowStartNanos < beforeNanos {
+			delete(a.Reservations, id)
+			a.EndedReservations[id] = reservation.ExpiresNanos
+		}
+	}
+	return a, countBefore - len(a.Reservations)
+}
+
 // ExpireReservations ends the reservations whose leases have expired on every instance's clock, which makes their
 // remaining units available again. It also drops the ids of ended reservations whose retention is over.
 func (a Account) ExpireReservations(settings Settings, nowNanos int64) Account {
--- a/internal/billingservice/errors.go
+++ b/internal/billingservice/errors.go
@@ -18,6 +18,9 @@
 var ErrReceiverAhead = errors.New("the receiver has records that the store has not numbered: " +
 	"the store was restored from an old backup. The export is halted until `fawnplank billing resume`")
 
+// errReplicaBehind reports that a replica does not apply what the leader has committed.
+var errReplicaBehind = errors.New("the replica has not applied the last write of the store; name one that follows the leader")
+
 // InvalidReportError reports that the units of a stored report cannot be added to accounts. The report stays
 // in the store.
 type InvalidReportError struct {
