--- a/internal/billingservice/resume.go
+++ b/internal/billingservice/resume.go
@@ -48,23 +48,31 @@
 	if state.hasExportedAfter(afterSequence) {
 		return dropped, &AlreadyExportedError{AcknowledgedSequence: state.LastAcknowledged}
 	}
-	if index, err = s.awaitCommittedState(state, index); err != nil {
+	if dropped.Records, err = s.dropRecords(state); err != nil {
 		return dropped, err
 	}
-	if dropped.Records, err = s.dropRecords(state); err != nil {
+	if err = s.dropUsage(before, &dropped); err != nil {
 		return dropped, err
 	}
-	// The reports come first: an instance that runs despite the instructions could add them to accounts.
-	if dropped.ReportItems, err = s.dropReportItems(before); err != nil {
+	if index, err = s.awaitCommittedState(state, index); err != nil {
 		return dropped, err
 	}
-	if err = s.dropFromAccounts(before, &dropped); err != nil {
+	if err = s.dropUsage(before, &dropped); err != nil { // what the replica did not show before
 		return dropped, err
 	}
 	_, err = s.writeExportState(state.resumeAfter(afterSequence), index, nil)
 	return dropped, err
 }
 
+// dropUsage drops the usage before the given time that this replica shows, and adds it to the counts. The reports come
+// first: an instance that runs despite the instructions could add them to accounts.
+func (s *Service) dropUsage(before time.Time, dropped *DroppedUsage) error {
+	if err := s.dropReportItems(before, dropped); err != nil {
+		return err
+	}
+	return s.dropFromAccounts(before, dropped)
+}
+
 // awaitCommittedState waits until this replica has applied every write that is committed, such as those of the
 // restoration, which may have gone through another replica. It writes the export state unchanged and waits for that
 // write. It returns the new index of the state.
@@ -94,10 +102,10 @@
 	return count, nil
 }
 
-// dropReportItems removes the items of windows that began before the given time from all reports, and returns their
-// number. A report without further items is deleted. A report that cannot be decoded is kept, as addReports keeps it.
-func (s *Service) dropReportItems(before time.Time) (int, error) {
-	count := 0
+// dropReportItems removes the items of windows that began before the given time from all reports, and adds their number
+// to the counts. A report without further items is deleted. A report that cannot be decoded is kept, as addReports
+// keeps it.
+func (s *Service) dropReportItems(before time.Time, dropped *DroppedUsage) error {
 	for name, value := range s.options.Replica.ReadLocalPrefix(reportPrefix) {
 		var items []usageItem
 		if json.Unmarshal(value, &items) != nil {
@@ -110,11 +118,11 @@
 			continue
 		}
 		if err := s.replaceReport(reportPrefix+name, remaining); err != nil {
-			return count, err
+			return err
 		}
-		count += len(items) - len(remaining)
+		dropped.ReportItems += len(items) - len(remaining)
 	}
-	return count, nil
+	return nil
 }
 
 // replaceReport writes the items of a report, or deletes the report if there are none.
