backend: a value over 64 KiB is passed on while it arrives

Cause: an answer was held until it was whole.

Change: such a value is a stream of pieces within the memory budget, from its length line on; the attempt has no deadline from then on. Below 64 KiB it is streamed only where there is no memory for it, in place of a wait of 3 s. A broken value ends with the client's connection.

--- a/internal/backend/connection.go
+++ b/internal/backend/connection.go
@@ -55,8 +55,9 @@
 	// abandoned.
 	discardDeadline time.Time
 
-	// budgetedBytes is the share of the memory budget that the reader's buffer holds. Only the reader uses it.
-	budgetedBytes int64
+	// value is the value that receiveValue has received of a response whose other parts are still missing. Only the
+	// reader uses it.
+	value *valueReader
 }
 
 var _ dispatch.AttemptConn = (*conn)(nil)
--- a/internal/backend/response_parser.go
+++ b/internal/backend/response_parser.go
@@ -15,8 +15,6 @@
 	maxLineBytes = 1 << 10
 	// maxParts bounds the number of parts of a response: value, usage, load report, and room for further parts.
 	maxParts = 8
-	// maxResponseBytes bounds a response: a value of the maximum size, with its usage and load report.
-	maxResponseBytes = resp.MaxValueBytes + 4<<10
 	// maxUnits is the exclusive upper bound on the units of a usage report; larger numbers are ignored as invalid.
 	maxUnits = 1e9
 	// float64Bits is the bitSize of strconv.ParseFloat for a float64.
@@ -31,15 +29,16 @@
 
 // response is a backend's answer.
 type response struct {
-	size  int     // in bytes; 0 while incomplete
-	value []byte  // as received, including its length line; it aliases the parsed buffer
-	units float64 // the actual cost of the request according to the usage; 0: not stated
+	isComplete bool
+	size       int     // in bytes; 0 while incomplete
+	value      []byte  // as received, including its length line; it aliases the parsed buffer
+	units      float64 // the actual cost of the request according to the usage; 0: not stated
 }
 
 // parseResponse parses the bytes received so far of a response. It checks each length before the bytes that the
-// length counts. A size of 0 without an error means that more bytes are needed; a size of 0 with an error means that
-// the received bytes cannot be the beginning of a valid response. Any other size with an error means a complete
-// response that represents that error. received must not be empty.
+// length counts. An incomplete response without an error means that more bytes are needed; with an error it means that
+// the received bytes cannot be the beginning of a valid response. A complete response with an error represents that
+// error. received must not be empty.
 func parseResponse(received []byte) (response, error) {
 	if received[0] == '-' {
 		return parseErrorLine(received)
@@ -51,9 +50,19 @@
 	if !count.IsComplete() {
 		return response{}, nil
 	}
+	return parseParts(received, count.Size, partRange{first: valuePart, end: count.Value})
+}
+
+// partRange is a range of indices of the parts of a response, including first and excluding end.
+type partRange struct {
+	first int
+	end   int
+}
+
+// parseParts parses the parts of a response from an offset on. Its results are those of parseResponse.
+func parseParts(received []byte, offset int, indices partRange) (response, error) {
 	var r response
-	offset := count.Size
-	for index := range count.Value {
+	for index := indices.first; index < indices.end; index++ {
 		if offset == len(received) {
 			return response{}, nil
 		}
@@ -70,6 +79,7 @@
 		offset += p.size
 	}
 	r.size = offset
+	r.isComplete = true
 	return r, nil
 }
 
@@ -86,9 +96,9 @@
 	word, _, _ := bytes.Cut(line.Text, []byte(" "))
 	switch string(word) {
 	case "BUSY":
-		return response{size: line.Size}, dispatch.ErrRejected
+		return response{isComplete: true, size: line.Size}, dispatch.ErrRejected
 	case "ERR":
-		return response{size: line.Size}, dispatch.ErrBackendFailed
+		return response{isComplete: true, size: line.Size}, dispatch.ErrBackendFailed
 	}
 	return response{}, dispatch.ErrBackendFailed
 }
--- a/internal/backend/response_reader.go
+++ b/internal/backend/response_reader.go
@@ -1,6 +1,11 @@
 package backend
 
-import "fawnplank/internal/dispatch"
+import (
+	"bytes"
+	"time"
+
+	"fawnplank/internal/dispatch"
+)
 
 // read is the reader goroutine: it reads responses until the connection ends.
 func (c *conn) read() {
@@ -12,7 +17,7 @@
 		count, err := c.socket.Read(received[len(received):cap(received)])
 		received = received[:len(received)+count]
 		if err != nil {
-			c.handleConnectionEnd(readProgress(received), err)
+			c.handleConnectionEnd(c.readProgress(received), err)
 			return
 		}
 		if c.abandoned.Load() {
@@ -29,40 +34,49 @@
 // cap, is free. next is the same for the buffer to continue with. continueReading is false if the connection must
 // be closed.
 func (c *conn) handleReceived(received []byte) (next []byte, continueReading bool) {
-	r, err := parseResponse(received)
-	if r.size > 0 {
+	r, err := c.parseReceived(received)
+	if r.isComplete {
 		return c.handleComplete(received, r, err)
 	}
 	if err != nil { // the response is malformed, and no further response can be found in the stream
 		c.handleResponse(response{}, err, connectionEnds)
 		return nil, false
 	}
-	if len(received) < cap(received) {
-		return received, true
+	isFull := len(received) == cap(received)
+	if head, ok := parseValueHead(received); ok && c.value == nil && (isFull || head.valueBytes > streamThresholdBytes) {
+		return c.receiveValue(received, head)
 	}
-	grown := c.growBuffer(received)
-	if len(grown) == len(received) {
-		c.handleResponse(response{}, incompleteResponseError(received), connectionEnds)
+	if isFull { // more than any response has before or after its value
+		c.handleResponse(response{}, dispatch.ErrBackendFailed, connectionEnds)
 		return nil, false
 	}
-	return grown[:len(received)], true
+	return received, true
+}
+
+// parseReceived parses the bytes received so far of a response, or of the part of it after a value that receiveValue has
+// received.
+func (c *conn) parseReceived(received []byte) (response, error) {
+	if c.value != nil {
+		return parseParts(received, 0, partRange{first: valuePart + 1, end: c.value.head.parts})
+	}
+	return parseResponse(received)
 }
 
 // handleComplete handles a complete response at the beginning of the received bytes. err is the error that the
 // response represents, or nil. The results are those of handleReceived.
 func (c *conn) handleComplete(received []byte, r response, err error) (next []byte, continueReading bool) {
 	after := connectionReusable
-	if r.size < len(received) { // the bytes after the response belong to no attempt; the response itself is valid
+	// Bytes after the response belong to no attempt; the response itself is valid.
+	if r.size < len(received) || c.abandoned.Load() {
 		after = connectionEnds
 	}
-	next, r.value = c.detachValue(received[:cap(received)], r.value)
+	r.value = bytes.Clone(r.value)
 	hadAttempt := c.handleResponse(r, err, after)
-	return next[:0], hadAttempt && after == connectionReusable
+	return received[:0], hadAttempt && after == connectionReusable
 }
 
-// finishRead releases the reader's memory and closes the connection, since no other goroutine reads it.
+// finishRead closes the connection, since no other goroutine reads it.
 func (c *conn) finishRead() {
-	c.releaseBudget()
 	c.pool.mu.Lock()
 	defer c.pool.mu.Unlock()
 	c.close()
@@ -71,11 +85,21 @@
 // handleResponse reports the response as the result of the connection's attempt. It returns false if the connection
 // carries no attempt.
 func (c *conn) handleResponse(r response, err error, after afterResponse) bool {
+	value := c.value
+	c.value = nil
+	if value != nil {
+		_ = c.socket.SetReadDeadline(time.Time{}) // fails only if the connection has ended, which the reader detects
+	}
 	attempt := c.takeAnsweredAttempt(after)
-	if attempt == nil {
+	switch {
+	case attempt == nil:
+		value.abandon()
 		return false
+	case value != nil:
+		value.report(attempt, r, err)
+	default:
+		attempt.Report(r.value, r.units, err)
 	}
-	attempt.Report(r.value, r.units, err)
 	return true
 }
 
@@ -105,8 +129,8 @@
 }
 
 // readProgress returns the stage that an attempt has reached if these bytes of its response have been received.
-func readProgress(received []byte) dispatch.Progress {
-	if len(received) > 0 {
+func (c *conn) readProgress(received []byte) dispatch.Progress {
+	if len(received) > 0 || c.value != nil {
 		return dispatch.Answering
 	}
 	return dispatch.Written
@@ -115,6 +139,8 @@
 // handleConnectionEnd handles the end of the connection and reports it as the result of the attempt. If the attempt
 // is still being written, its writer reports the result instead.
 func (c *conn) handleConnectionEnd(progress dispatch.Progress, err error) {
+	c.value.abandon()
+	c.value = nil
 	attempt := c.closeAndTakeAttempt(progress)
 	if attempt == nil {
 		return
--- a/internal/backend/shortage.go
+++ b/internal/backend/shortage.go
@@ -7,7 +7,6 @@
 	"syscall"
 
 	"fawnplank/internal/dispatch"
-	"fawnplank/internal/logging"
 )
 
 // localShortageErrors are the errors of a dial that show that this instance lacks a resource or a route. They are no
@@ -39,15 +38,3 @@
 	}
 	return slices.ContainsFunc(localShortageErrors, func(local error) bool { return errors.Is(err, local) })
 }
-
-// incompleteResponseError returns the error to report for a response whose reading must stop after the received
-// bytes. A response that is too large is a failure of the backend. If no memory became available in time, the cause
-// is a shortage of this instance. The backend may have run the request, so the attempt ends with
-// dispatch.ErrTimeout, which is not held against the backend.
-func incompleteResponseError(received []byte) error {
-	if len(received) >= maxResponseBytes {
-		return dispatch.ErrBackendFailed
-	}
-	logging.For(logComponent).WithField("received", len(received)).Warn("no memory for a response")
-	return dispatch.ErrTimeout
-}
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -23,6 +23,7 @@
 //	waiting   -> started    Start: the first byte is about to be written
 //	waiting   -> canceled   must not be written: canceled, too late to start, or the request is finished
 //	started   -> abandoned  given up while being written: the writer still reports the result
+//	started   -> streaming  ReportStarted: the response is passed on to the client while it arrives
 //	any other -> settled    the outcome was passed to the engine; final
 //
 // Only Start changes the state without holding the dispatcher's lock. Start and cancellation therefore leave the
@@ -42,6 +43,8 @@
 	// attemptAbandoned: the response is no longer needed. The engine waits for the writer's report on whether
 	// the request was written completely.
 	attemptAbandoned
+	// attemptStreaming: the request is answered with the response, which is still arriving.
+	attemptStreaming
 	// attemptSettled: the outcome was passed to the engine. Later reports are ignored.
 	attemptSettled
 )
@@ -56,6 +59,8 @@
 		return "canceled"
 	case attemptAbandoned:
 		return "abandoned"
+	case attemptStreaming:
+		return "streaming"
 	case attemptSettled:
 		return "settled"
 	}
@@ -88,6 +93,9 @@
 	startDeadline policy.Instant
 	state         atomicAttemptState
 	conn          AttemptConn // set by Start; valid once the attempt is in the started state
+	// responseStartedAt is when a streamed response began; zero if the response is not streamed. The dispatcher's lock
+	// guards it.
+	responseStartedAt policy.Instant
 	// outcomeIfWritten is the outcome of an abandoned attempt if it was written completely. The dispatcher's
 	// lock guards it.
 	outcomeIfWritten policy.Outcome
@@ -151,13 +159,18 @@
 // in units if the backend states it, and 0 otherwise. Report has no effect once the attempt has an outcome, from a
 // report or a cancellation. The dispatcher keeps response, so the caller must not modify it afterwards.
 func (a *Attempt) Report(response []byte, actualUnits float64, err error) {
+	a.report(Step{Action: Respond, Response: response}, actualUnits, err)
+}
+
+// report is Report with the final step of the request, should the attempt have succeeded.
+func (a *Attempt) report(success Step, actualUnits float64, err error) {
 	a.request.dispatcher.callEngine(func(policy.Instant) {
 		if a.state.load() == attemptSettled {
 			return
 		}
 		outcome := a.reportedOutcome(err)
 		if outcome == policy.Succeeded {
-			a.request.finish(Step{Action: Respond, Response: response})
+			a.request.finish(success)
 		}
 		a.settle(outcome, actualUnits)
 	})
@@ -175,7 +188,7 @@
 	r.engineRequest.HandleAttemptResult(now, policy.AttemptResult{
 		Attempt:     a.id,
 		Outcome:     outcome,
-		Elapsed:     now.Sub(a.createdAt),
+		Elapsed:     a.elapsed(now),
 		RequestDone: r.finished,
 		ActualUnits: actualUnits,
 	})
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -40,9 +40,10 @@
 // Step is what the owner of a request does next. Each field except Action is set for one action only.
 type Step struct {
 	Action     Action
-	Attempt    *Attempt      // for Send
-	Response   []byte        // for Respond
-	RetryAfter time.Duration // for Reject; 0: the answer states no time
+	Attempt    *Attempt       // for Send
+	Response   []byte         // for Respond, unless Stream is set
+	Stream     ResponseStream // for Respond: the response still arrives
+	RetryAfter time.Duration  // for Reject; 0: the answer states no time
 }
 
 // maxPendingAttempts is how many attempts of a request may wait for NextStep. The request's owner calls
--- a/internal/dispatch/timers.go
+++ b/internal/dispatch/timers.go
@@ -49,7 +49,8 @@
 	case startDeadlineTimer:
 		return t.attempt.state.load() != attemptWaiting
 	case resultDeadlineTimer:
-		return t.attempt.state.load() == attemptSettled
+		state := t.attempt.state.load()
+		return state == attemptSettled || state == attemptStreaming
 	}
 	return true
 }
--- a/internal/frontend/request.go
+++ b/internal/frontend/request.go
@@ -121,9 +121,7 @@
 	s := c.server
 	switch step.Action {
 	case dispatch.Respond:
-		s.metrics.RequestAnswered(p.class, metrics.RequestSucceeded)
-		p.recordUsage()
-		c.complete(p, step.Response)
+		p.respond(step)
 	case dispatch.Reject:
 		s.metrics.RequestAnswered(p.class, metrics.RequestRejected)
 		c.complete(p, busyResponse(step.RetryAfter))
--- a/internal/frontend/responses.go
+++ b/internal/frontend/responses.go
@@ -76,7 +76,7 @@
 		c.pending = c.pending[1:]
 		c.pendingBytes -= len(first.raw)
 		if !c.peer.isGone() {
-			c.write(first.response)
+			_ = c.write(first.response) // the reader detects the end of the connection
 		}
 		if first.isRequest {
 			c.requestsInFlight.Add(-1)
@@ -84,18 +84,19 @@
 	}
 }
 
-// write writes a response, and closes the connection if that fails. The deadline of writeTimeout for each chunk
+// write writes a response or a piece of one, and closes the connection if that fails. The deadline of writeTimeout for each chunk
 // prevents a client that does not read from holding the connection and the memory of the response. The caller holds mu.
-func (c *connection) write(response []byte) {
+func (c *connection) write(response []byte) error {
 	for len(response) > 0 {
 		c.renewWriteDeadline()
 		chunk := response[:min(len(response), writeChunkBytes)]
 		if _, err := c.conn.Write(chunk); err != nil {
 			c.close()
-			return
+			return err
 		}
 		response = response[len(chunk):]
 	}
+	return nil
 }
 
 // renewWriteDeadline sets the write deadline, unless it was set less than a fifth of writeTimeout ago.
--- a/internal/membudget/budget.go
+++ b/internal/membudget/budget.go
@@ -43,6 +43,12 @@
 	return bytes, true
 }
 
+// TryAcquire acquires the given number of bytes if they are free and no caller of Acquire waits. ok is false if it does
+// not.
+func (b *Budget) TryAcquire(bytes int64) (ok bool) {
+	return b == nil || bytes <= 0 || b.free.TryAcquire(bytes)
+}
+
 // Release returns bytes to the budget. The number must be the one that Acquire returned.
 func (b *Budget) Release(bytes int64) {
 	if b != nil && bytes > 0 {
