backend: an answer does not wait until the whole request is written

What callers saw: a backend that answers a large request without reading all of it delayed the answer for as long as the write took, without a bound.

Cause: on an idle connection the request's own goroutine wrote the attempt, and no timer ends an attempt that is answered.

Change: commands over 4 KiB are written by a goroutine of their own; after an early answer the rest of the write has 200 ms.

--- a/internal/backend/attempt_writer.go
+++ b/internal/backend/attempt_writer.go
@@ -3,10 +3,15 @@
 import (
 	"cmp"
 	"net"
+	"time"
 
 	"fawnplank/internal/dispatch"
 )
 
+// earlyResponseGrace is how long the rest of a command may take to be written once its response has arrived. The writer
+// is usually done by then; a backend that does not read the rest would hold the command's memory.
+const earlyResponseGrace = 200 * time.Millisecond
+
 // write writes an attempt, unless the attempt was canceled. It also handles a connection that ends or a response that
 // arrives before the write is complete. A request that is not completely written has not run.
 func (c *conn) write(attempt *dispatch.Attempt, command Command) {
@@ -73,6 +78,7 @@
 		c.close()
 	}
 	if c.state == stateRespondedEarly {
+		_ = c.socket.SetWriteDeadline(time.Time{}) // fails only if the connection has ended, which the reader detects
 		c.makeIdle()
 	}
 	if c.attempt != attempt { // the reader has already reported the result
--- a/internal/backend/command_test.go
+++ b/internal/backend/command_test.go
@@ -6,3 +6,5 @@
 type fixedCommand string
 
 func (f fixedCommand) Parts(time.Duration) [][]byte { return [][]byte{[]byte(f)} }
+
+func (f fixedCommand) Size() int { return len(f) }
--- a/internal/backend/deadline_test.go
+++ b/internal/backend/deadline_test.go
@@ -19,6 +19,8 @@
 	return [][]byte{[]byte(ping)}
 }
 
+func (r recordingCommand) Size() int { return len(ping) }
+
 // slowListener returns the descriptor of a listener whose backlog is full, so that a connection to its address is only
 // established when the kernel sends the first packet again, after about a second.
 func slowListener(t *testing.T) (fd int, address string) {
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -119,8 +119,14 @@
 	// awaits for the remaining time. It is called when the first byte is about to be written. The parts must not change
 	// until the attempt has ended.
 	Parts(remaining time.Duration) [][]byte
+	// Size returns the size of the command in bytes, to within the digits of the remaining time.
+	Size() int
 }
 
+// maxImmediateWriteBytes is the size up to which a command is written without waiting: the send buffer of an idle
+// connection is empty, and larger than this.
+const maxImmediateWriteBytes = 4 << 10
+
 // Send sends an attempt. Send waits neither for a connection nor for a response; the result is reported with
 // Attempt.Report.
 func (p *Pool) Send(attempt *dispatch.Attempt, command Command) {
@@ -129,11 +135,17 @@
 		reportNotConnected(attempt, err)
 		return
 	}
-	if c == nil {
+	switch {
+	case c == nil:
 		go p.dialAndWrite(target, attempt, command)
-		return
+	case command.Size() > maxImmediateWriteBytes:
+		go func() {
+			defer recoverPanic()
+			c.write(attempt, command)
+		}()
+	default:
+		c.write(attempt, command)
 	}
-	c.write(attempt, command)
 }
 
 // recoverPanic logs a panic. Every goroutine of the package defers it, so that a panic does not end the process.
--- a/internal/backend/response_reader.go
+++ b/internal/backend/response_reader.go
@@ -122,6 +122,8 @@
 	c.socket.MarkConsumed()
 	if wasWriting {
 		c.state = stateRespondedEarly
+		// Fails only if the connection has ended, which the reader detects.
+		_ = c.socket.SetWriteDeadline(time.Now().Add(earlyResponseGrace))
 	} else {
 		c.makeIdle()
 	}
--- a/internal/frontend/request_rewrite.go
+++ b/internal/frontend/request_rewrite.go
@@ -38,3 +38,6 @@
 	after := p.raw[p.remaining.end:]
 	return [][]byte{p.raw[:dollar+1], lengthLine, before, value, after}
 }
+
+// Size implements backend.Command.
+func (p *pendingCommand) Size() int { return len(p.raw) }
