Memory: every held byte is bounded from the limit, for hundreds of slow clients

Cause: 68 KiB for each connection, requests behind others, answers that were whole and being written, the garbage of growing buffers, buffers held only by the list of arguments, and the pages of the program's file were not counted.

--- a/cmd/fawnplank/gateway_start.go
+++ b/cmd/fawnplank/gateway_start.go
@@ -37,10 +37,10 @@
 
 func (g *gateway) newPool() *backend.Pool {
 	return backend.New(backend.Options{
-		MaxConnections:    g.resourceLimits.connectionsPerSide(),
+		MaxConnections:    g.resourceLimits.maxBackendConnections(),
 		ConnectTimeout:    g.configuration.ConnectTimeout,
 		IdleTimeout:       g.configuration.IdleTimeout,
-		Budget:            g.resourceLimits.newLargeValueBudget(),
+		Budget:            g.resourceLimits.newResponseBudget(),
 		Metrics:           g.metrics,
 		HandleHealthCheck: g.dispatcher.HandleHealthCheck,
 	})
@@ -176,9 +176,9 @@
 		Dispatcher:     g.dispatcher,
 		Pool:           g.pool,
 		Config:         g.configuration,
-		MaxConnections: g.resourceLimits.connectionsPerSide(),
+		MaxConnections: g.resourceLimits.maxClientConnections(),
 		Metrics:        g.metrics,
-		Budget:         g.resourceLimits.newLargeValueBudget(),
+		Budget:         g.resourceLimits.newCommandBudget(),
 	}
 	if g.accounts.service != nil { // an interface that holds a nil pointer is not equal to nil
 		options.Usage = g.accounts.service
--- a/cmd/fawnplank/resources.go
+++ b/cmd/fawnplank/resources.go
@@ -6,6 +6,7 @@
 
 	"fawnplank/internal/admin"
 	"fawnplank/internal/config"
+	"fawnplank/internal/frontend"
 	"fawnplank/internal/membudget"
 )
 
@@ -20,12 +21,25 @@
 	// that neither side starves the other.
 	connectionSides = 2
 	// uncollectedMemoryDivisor leaves a quarter of the memory limit for memory that the garbage collector does not
-	// manage.
+	// manage, and minUncollectedMemory is the least of it: the pages of the program's file count as its memory.
 	uncollectedMemoryDivisor = 4
-	// largeValueDivisor bounds the large values of clients to a sixth of the memory limit, and those of backends to
-	// another sixth. Data is not read while it waits for memory. Of the three quarters that the collector may use,
-	// five twelfths of the limit remain for everything else.
-	largeValueDivisor = 6
+	minUncollectedMemory     = 16 << 20
+	// minCollectedMemoryDivisor is the part of a very small memory limit that the collector manages all the same.
+	minCollectedMemoryDivisor = 4
+	// largeCommandDivisor bounds the commands of clients to a quarter of the collected memory, but there is always
+	// memory for one command of the largest size. Data is not read while it waits for memory.
+	largeCommandDivisor = 4
+	// largeResponseDivisor bounds the responses of backends to an eighth of the collected memory. Less suffices than
+	// for commands, since a response is passed on while it arrives where there is no memory for all of it.
+	largeResponseDivisor = 8
+	// clientMemoryDivisor and backendMemoryDivisor bound what the connections to clients and to backends hold besides
+	// commands and responses, to a quarter and an eighth of the collected memory. About a quarter remains for the rest.
+	clientMemoryDivisor  = 4
+	backendMemoryDivisor = 8
+	// clientConnectionBytes is the memory of a connection to a client: a buffer, the stacks of its goroutines, its state.
+	clientConnectionBytes = 12 << 10
+	// backendConnectionBytes is the memory of a connection to a backend, with that of the request which it carries.
+	backendConnectionBytes = 16 << 10
 	// collectorHeapGrowthPercent makes collections start at a heap of 2 MB; a collection takes about a millisecond
 	// because little memory is in use. With a larger percentage the heap grows for minutes before the first
 	// collection, which resembles a leak and occupies memory that nothing uses.
@@ -50,10 +64,16 @@
 	}
 }
 
+// collectedBytes returns the memory that the garbage collector may manage.
+func (r resourceLimits) collectedBytes() int64 {
+	uncollected := max(r.memoryBytes/uncollectedMemoryDivisor, minUncollectedMemory)
+	return max(r.memoryBytes-uncollected, r.memoryBytes/minCollectedMemoryDivisor)
+}
+
 // limitRuntime applies the limits to the scheduler and the garbage collector of the Go runtime.
 func (r resourceLimits) limitRuntime() {
 	runtime.GOMAXPROCS(maxProcessors)
-	debug.SetMemoryLimit(r.memoryBytes - r.memoryBytes/uncollectedMemoryDivisor)
+	debug.SetMemoryLimit(r.collectedBytes())
 	debug.SetGCPercent(collectorHeapGrowthPercent)
 }
 
@@ -65,14 +85,29 @@
 	return admin.ConnectionLimit(r.maxSockets)
 }
 
-// connectionsPerSide returns the maximum number of connections to clients, which is also the maximum to backends.
-func (r resourceLimits) connectionsPerSide() int {
+// maxClientConnections returns the maximum number of connections to clients.
+func (r resourceLimits) maxClientConnections() int {
+	return min(r.socketsPerSide(), int(r.collectedBytes()/clientMemoryDivisor/clientConnectionBytes))
+}
+
+// maxBackendConnections returns the maximum number of connections to backends.
+func (r resourceLimits) maxBackendConnections() int {
+	return min(r.socketsPerSide(), int(r.collectedBytes()/backendMemoryDivisor/backendConnectionBytes))
+}
+
+// socketsPerSide returns the number of descriptors for connections to clients, which is also that for connections to
+// backends.
+func (r resourceLimits) socketsPerSide() int {
 	return (r.maxSockets - reservedDescriptors - r.managementConnections()) / connectionSides
 }
 
-// newLargeValueBudget returns a budget for the memory of large values. Clients and backends have separate budgets,
-// because a large command holds its memory until its response is written, and that response must not wait for the same
-// budget.
-func (r resourceLimits) newLargeValueBudget() *membudget.Budget {
-	return membudget.New(r.memoryBytes / largeValueDivisor)
+// newCommandBudget returns a budget for the memory of the clients' commands. It is separate from that of the responses,
+// because a command holds its memory until its response is written.
+func (r resourceLimits) newCommandBudget() *membudget.Budget {
+	return membudget.New(max(r.collectedBytes()/largeCommandDivisor, frontend.MaxCommandBytes))
+}
+
+// newResponseBudget returns a budget for the memory of the backends' responses.
+func (r resourceLimits) newResponseBudget() *membudget.Budget {
+	return membudget.New(r.collectedBytes() / largeResponseDivisor)
 }
--- a/internal/frontend/memory_refusal.go
+++ b/internal/frontend/memory_refusal.go
@@ -30,26 +30,32 @@
 	size int // of the whole request, in bytes
 }
 
-// parseIncompleteRequest parses the command in the reader's buffer. ok is false if it is not a valid request of which
-// only a part of the body is missing.
-func (c *connection) parseIncompleteRequest() (request incompleteRequest, ok bool) {
-	r := &c.reader
-	incomplete, err := resp.ParseIncompleteCommand(r.buffer[:r.bufferedBytes], r.args)
-	r.args = incomplete.Args
-	if err != nil || !incomplete.OnlyLastMissing || len(r.args) != maxRequestArgs-1 ||
-		!isRequestName(bytes.ToUpper(r.args[0])) {
+// parseIncompleteRequest parses the head of an incomplete command. ok is false if it is not a valid request of which only
+// a part of the body is missing.
+func (c *connection) parseIncompleteRequest(incomplete *resp.IncompleteCommand) (request incompleteRequest, ok bool) {
+	args := incomplete.Args
+	if !incomplete.OnlyLastMissing || len(args) != maxRequestArgs-1 || !isRequestName(bytes.ToUpper(args[0])) {
 		return incompleteRequest{}, false
 	}
 	request = incompleteRequest{head: requestHead{config: c.server.config.Load()}, size: incomplete.LeastSize}
-	return request, request.head.parse(r.args) == nil
+	return request, request.head.parse(args) == nil
 }
 
-// memoryWaitLimit returns how long the reader may wait for memory for the request: the final answer must come before
+// requestMemoryWait returns how long the reader may wait for memory for the request: the final answer must come before
 // the client's deadline, even if the rest of the request has already arrived.
-func (c *connection) memoryWaitLimit(request *incompleteRequest) time.Duration {
-	now := time.Now()
-	limit := request.head.remaining/memoryWaitDivisor - c.reader.arrivals.unreadWait(now)
-	return min(limit, commandTimeout)
+func (c *connection) requestMemoryWait(request *incompleteRequest) time.Duration {
+	wait := request.head.remaining/memoryWaitDivisor - c.reader.arrivals.unreadWait(time.Now())
+	return min(wait, c.commandMemoryWait())
+}
+
+// commandMemoryWait returns how long the reader may wait for memory for any command. Behind an open request it does not
+// wait: the client's end could not be detected behind more bytes than the kernel takes, and attempts would be made for a
+// client that has left.
+func (c *connection) commandMemoryWait() time.Duration {
+	if c.requestsInFlight.Load() > 0 {
+		return 0
+	}
+	return commandTimeout
 }
 
 // startRefusal discards the part of a request that was read, with its memory.
@@ -60,9 +66,7 @@
 		size:        request.size,
 		unreadBytes: request.size - r.bufferedBytes,
 	}
-	r.buffer = make([]byte, minBufferBytes)
-	r.bufferedBytes = 0
-	c.releaseBudget()
+	c.shrinkBuffer()
 }
 
 // skipRefused removes the bytes of a request that is being refused from the beginning of input, and answers the request
--- a/internal/frontend/request.go
+++ b/internal/frontend/request.go
@@ -22,6 +22,7 @@
 	remaining     span          // the position in raw of the value of d
 	response      []byte        // nil until the command is completed
 	budgetedBytes int64         // bytes acquired from the memory budget for raw
+	pipelineBytes int64         // bytes acquired from the memory budget until the response is written
 	usage         *requestUsage // nil if usage is not recorded
 }
 
--- a/internal/frontend/responses.go
+++ b/internal/frontend/responses.go
@@ -48,6 +48,7 @@
 	if p.request != nil {
 		c.server.releaseRequestID(p.id)
 		c.server.metrics.RequestEnded()
+		c.server.memoryBudget.AddGarbage(p.budgetedBytes)
 		c.server.memoryBudget.Release(p.budgetedBytes)
 	}
 	defer c.server.signalConnectionCapacity() // runs after mu is unlocked
@@ -78,6 +79,7 @@
 		if !c.peer.isGone() {
 			_ = c.write(first.response) // the reader detects the end of the connection
 		}
+		c.server.memoryBudget.Release(first.takePipelineBytes())
 		if first.isRequest {
 			c.requestsInFlight.Add(-1)
 		}
--- a/internal/membudget/budget.go
+++ b/internal/membudget/budget.go
@@ -7,6 +7,8 @@
 
 import (
 	"context"
+	"runtime"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/semaphore"
@@ -14,10 +16,14 @@
 
 // Budget is a limit for the number of bytes that may be held at the same time.
 type Budget struct {
-	bytes int64
-	free  *semaphore.Weighted
+	bytes   int64
+	free    *semaphore.Weighted
+	garbage atomic.Int64 // bytes recorded by AddGarbage since the last collection that Acquire has made
 }
 
+// garbageDivisor bounds the memory that is no longer used, but not collected yet, to a part of the budget.
+const garbageDivisor = 4
+
 // New returns a budget of the given number of bytes, at least one.
 func New(bytes int64) *Budget {
 	bytes = max(bytes, 1)
@@ -32,6 +38,7 @@
 		return 0, true
 	}
 	bytes = min(bytes, b.bytes)
+	b.collectGarbage()
 	if b.free.TryAcquire(bytes) { // avoids a timer in the usual case
 		return bytes, true
 	}
@@ -43,6 +50,21 @@
 	return bytes, true
 }
 
+// AddGarbage records that a large buffer of the given number of bytes is no longer used. It occupies memory until the
+// next collection, which the collector may not begin in time where the memory of the process is small.
+func (b *Budget) AddGarbage(bytes int64) {
+	if b != nil {
+		b.garbage.Add(bytes)
+	}
+}
+
+// collectGarbage collects the garbage of the process if too much was recorded.
+func (b *Budget) collectGarbage() {
+	if garbage := b.garbage.Load(); garbage > b.bytes/garbageDivisor && b.garbage.CompareAndSwap(garbage, 0) {
+		runtime.GC()
+	}
+}
+
 // TryAcquire acquires the given number of bytes if they are free and no caller of Acquire waits. ok is false if it does
 // not.
 func (b *Budget) TryAcquire(bytes int64) (ok bool) {
