--- a/cmd/fawnplank/memory_limit_test.go
+++ b/cmd/fawnplank/memory_limit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -64,7 +65,8 @@
 // longRequest returns a request with a value of longValueBytes.
 func longRequest(id string) string {
 	withoutBody := request(id, requestFields)
-	return "*5" + withoutBody[len("*4"):] + fmt.Sprintf("$%d\r\n%s\r\n", longValueBytes, strings.Repeat("b", longValueBytes))
+	body := strings.Repeat("b", longValueBytes)
+	return "*5" + withoutBody[len("*4"):] + fmt.Sprintf("$%d\r\n%s\r\n", longValueBytes, body)
 }
 
 // serveLongValues answers each request with a value of longValueBytes.
@@ -142,7 +144,7 @@
 // holdConnection sends input on a new connection, reads a little, and holds the connection for some seconds.
 func holdConnection(address, input string) {
 	const holdTime = 3 * time.Second
-	conn, err := net.DialTimeout("tcp", address, holdTime)
+	conn, err := (&net.Dialer{Timeout: holdTime}).DialContext(context.Background(), "tcp", address)
 	if err != nil {
 		return
 	}
--- a/internal/backend/response_reader.go
+++ b/internal/backend/response_reader.go
@@ -53,8 +53,8 @@
 	return received, true
 }
 
-// parseReceived parses the bytes received so far of a response, or of the part of it after a value that receiveValue has
-// received.
+// parseReceived parses the bytes received so far of a response, or of the part of it after a value that receiveValue
+// has received.
 func (c *conn) parseReceived(received []byte) (response, error) {
 	if c.value != nil {
 		return parseParts(received, 0, partRange{first: valuePart + 1, end: c.value.head.parts})
--- a/internal/backend/shortage_test.go
+++ b/internal/backend/shortage_test.go
@@ -61,8 +61,8 @@
 	}
 }
 
-// TestValueFailure_LackOfMemoryIsNotBackendFailure guards against the ejection of healthy backends: a response for which
-// this instance had no memory counted as an error of the backend. A malformed response still does.
+// TestValueFailure_LackOfMemoryIsNotBackendFailure guards against the ejection of healthy backends: a response for
+// which this instance had no memory counted as an error of the backend. A malformed response still does.
 func TestValueFailure_LackOfMemoryIsNotBackendFailure(t *testing.T) {
 	for err, want := range map[error]error{
 		errNoMemory:        dispatch.ErrTimeout,
--- a/internal/billingservice/errors.go
+++ b/internal/billingservice/errors.go
@@ -19,7 +19,8 @@
 	"the store was restored from an old backup. The export is halted until `fawnplank billing resume`")
 
 // errReplicaBehind reports that a replica does not apply what the leader has committed.
-var errReplicaBehind = errors.New("the replica has not applied the last write of the store; name one that follows the leader")
+var errReplicaBehind = errors.New("the replica has not applied the last write of the store; " +
+	"name one that follows the leader")
 
 // InvalidReportError reports that the units of a stored report cannot be added to accounts. The report stays
 // in the store.
--- a/internal/billingservice/resume.go
+++ b/internal/billingservice/resume.go
@@ -25,11 +25,11 @@
 	Reservations int // ended: their holders can commit nothing more
 }
 
-// Resume repairs the export after the store was restored from an old backup. The sequence numbers of new records follow
-// afterSequence, which is the last one that the receiver has. Resume drops everything in the restored state whose usage
-// may have been exported before the restoration, or may be committed again: all unexported records, and, of windows that
-// began before the given time, the usage in the accounts, the usage in reports that are not added to accounts yet, and
-// the reservations. No instance may be running.
+// Resume repairs the export after the store was restored from an old backup. The sequence numbers of new records
+// follow afterSequence, which is the last one that the receiver has. Resume drops everything in the restored state
+// whose usage may have been exported before the restoration, or may be committed again: all unexported records, and,
+// of windows that began before the given time, the usage in the accounts, the usage in reports that are not added to
+// accounts yet, and the reservations. No instance may be running.
 //
 // If the store has exported a record after afterSequence, the error is an *AlreadyExportedError and nothing is changed.
 // After any other error a part of the changes may be committed, and the result counts that part.
--- a/internal/frontend/arrival.go
+++ b/internal/frontend/arrival.go
@@ -88,8 +88,8 @@
 	return now.Sub(a.marks[0].at)
 }
 
-// markArrivals examines the socket, unless it was examined shortly before. The reader calls it before each read and each
-// wait.
+// markArrivals examines the socket, unless it was examined shortly before. The reader calls it before each read and
+// each wait.
 func (c *connection) markArrivals() {
 	now := time.Now()
 	if !c.reader.arrivals.isMarkDue(now) {
--- a/internal/frontend/backend_responses_test.go
+++ b/internal/frontend/backend_responses_test.go
@@ -189,7 +189,10 @@
 // A value of which the backend does not send the rest ends with the client's connection, so that the client can tell
 // that it is not whole. The responses before it are written.
 func TestBackendConnections_BrokenLongResponseEndsConnection(t *testing.T) {
-	for name, end := range map[string]string{"connection ends": "", "wrong terminator": strings.Repeat("v", 100_000) + "xx"} {
+	for name, end := range map[string]string{
+		"connection ends":  "",
+		"wrong terminator": strings.Repeat("v", 100_000) + "xx",
+	} {
 		t.Run(name, func(t *testing.T) {
 			h := newHarness(t, harnessOptions{onAttempt: func(a receivedAttempt) {
 				a.respond("*3\r\n$100000\r\n" + end)
--- a/internal/frontend/backpressure.go
+++ b/internal/frontend/backpressure.go
@@ -32,8 +32,8 @@
 }
 
 // lockForEnqueue locks mu once another command may become pending or the client has disconnected. The limit keeps a
-// client that sends commands faster than they are answered from exhausting the memory. mu itself may be held for as long
-// as an earlier response is written.
+// client that sends commands faster than they are answered from exhausting the memory. mu itself may be held for as
+// long as an earlier response is written.
 func (c *connection) lockForEnqueue(p *pendingCommand) {
 	mayNotEnqueue := func() bool { return c.isPendingFull() || !c.acquirePipelineBytes(p) }
 	if c.mu.TryLock() {
--- a/internal/frontend/connection.go
+++ b/internal/frontend/connection.go
@@ -81,8 +81,8 @@
 	return c, nil
 }
 
-// startServing sets the time from which the client has to send its first command. It is called before the reader starts,
-// and after any wait for capacity: a client whose connection waited is not silent.
+// startServing sets the time from which the client has to send its first command. It is called before the reader
+// starts, and after any wait for capacity: a client whose connection waited is not silent.
 func (c *connection) startServing(now time.Time) {
 	c.acceptedAt = now
 	c.idleSince = now
--- a/internal/frontend/early_answer_test.go
+++ b/internal/frontend/early_answer_test.go
@@ -10,8 +10,8 @@
 	"fawnplank/internal/testutil"
 )
 
-// Guards against a final answer after the client's time: a backend answers without having read a large request, and does
-// not read the rest. The answer came once all of the request was written.
+// Guards against a final answer after the client's time: a backend answers without having read a large request, and
+// does not read the rest. The answer came once all of the request was written.
 func TestBackendConnections_EarlyAnswerToUnreadRequest(t *testing.T) {
 	h := newHarness(t, harnessOptions{})
 	address := testutil.ServeConnections(t, func(conn net.Conn) {
--- a/internal/frontend/memory_refusal.go
+++ b/internal/frontend/memory_refusal.go
@@ -30,8 +30,8 @@
 	size int // of the whole request, in bytes
 }
 
-// parseIncompleteRequest parses the head of an incomplete command. ok is false if it is not a valid request of which only
-// a part of the body is missing.
+// parseIncompleteRequest parses the head of an incomplete command. ok is false if it is not a valid request of which
+// only a part of the body is missing.
 func (c *connection) parseIncompleteRequest(incomplete *resp.IncompleteCommand) (request incompleteRequest, ok bool) {
 	args := incomplete.Args
 	if !incomplete.OnlyLastMissing || len(args) != maxRequestArgs-1 || !isRequestName(bytes.ToUpper(args[0])) {
@@ -48,9 +48,9 @@
 	return min(wait, c.commandMemoryWait())
 }
 
-// commandMemoryWait returns how long the reader may wait for memory for any command. Behind an open request it does not
-// wait: the client's end could not be detected behind more bytes than the kernel takes, and attempts would be made for a
-// client that has left.
+// commandMemoryWait returns how long the reader may wait for memory for any command. Behind an open request it does
+// not wait: the client's end could not be detected behind more bytes than the kernel takes, and attempts would be
+// made for a client that has left.
 func (c *connection) commandMemoryWait() time.Duration {
 	if c.requestsInFlight.Load() > 0 {
 		return 0
--- a/internal/frontend/reader_buffer.go
+++ b/internal/frontend/reader_buffer.go
@@ -61,8 +61,8 @@
 	clear(r.args[:cap(r.args)]) // they would keep the former buffer in memory
 }
 
-// growBuffer grows a full buffer to bufferGrowthFactor times its size, or to the size of the command if that is less. It
-// returns false if the connection has to end.
+// growBuffer grows a full buffer to bufferGrowthFactor times its size, or to the size of the command if that is less.
+// It returns false if the connection has to end.
 func (c *connection) growBuffer() bool {
 	r := &c.reader
 	incomplete, err := resp.ParseIncompleteCommand(r.buffer[:r.bufferedBytes], r.args)
@@ -115,8 +115,8 @@
 	c.reader.bufferTransferred = true
 }
 
-// acquireBudget acquires bytes from the memory budget for a larger buffer. It waits for commandMemoryWait at most. If the bytes are not available in time, it closes the connection with an error and
-// returns false.
+// acquireBudget acquires bytes from the memory budget for a larger buffer. It waits for commandMemoryWait at most. If
+// the bytes are not available in time, it closes the connection with an error and returns false.
 func (c *connection) acquireBudget(bytes int) bool {
 	if c.tryAcquireBudget(bytes, c.commandMemoryWait()) {
 		return true
--- a/internal/frontend/responses.go
+++ b/internal/frontend/responses.go
@@ -86,8 +86,9 @@
 	}
 }
 
-// write writes a response or a piece of one, and closes the connection if that fails. The deadline of writeTimeout for each chunk
-// prevents a client that does not read from holding the connection and the memory of the response. The caller holds mu.
+// write writes a response or a piece of one, and closes the connection if that fails. The deadline of writeTimeout
+// for each chunk prevents a client that does not read from holding the connection and the memory of the response. The
+// caller holds mu.
 func (c *connection) write(response []byte) error {
 	for len(response) > 0 {
 		c.renewWriteDeadline()
--- a/internal/resp/resp.go
+++ b/internal/resp/resp.go
@@ -129,8 +129,8 @@
 	OnlyLastMissing bool
 }
 
-// ParseIncompleteCommand returns what is known of the incomplete command at the beginning of input. It reuses the memory
-// of args. Any error is a *ProtocolError.
+// ParseIncompleteCommand returns what is known of the incomplete command at the beginning of input. It reuses the
+// memory of args. Any error is a *ProtocolError.
 func ParseIncompleteCommand(input []byte, args [][]byte) (IncompleteCommand, error) {
 	size, args, err := ParseCommand(input, args)
 	if err != nil || size > 0 {
--- a/internal/retryaccept/retryaccept.go
+++ b/internal/retryaccept/retryaccept.go
@@ -2,8 +2,8 @@
 // of file descriptors or memory (ENFILE, ENOBUFS, ECONNABORTED and others). The servers of other packages stop, or
 // pause for up to a second, when Accept returns an error.
 //
-// A Listener owns the listener that it wraps. Accept has one caller at a time; the other methods are safe for concurrent
-// use, except where they say otherwise.
+// A Listener owns the listener that it wraps. Accept has one caller at a time; the other methods are safe for
+// concurrent use, except where they say otherwise.
 package retryaccept
 
 import (
--- a/internal/sock/poll.go
+++ b/internal/sock/poll.go
@@ -24,8 +24,8 @@
 // It must not be called concurrently with itself.
 func (c *Conn) HasPendingBytes() bool { return c.peek() == bytesPending }
 
-// UnreadBytes returns how many bytes have arrived and are not read yet. ok is false if that is not known: the hosts of a
-// deployment may reject the call. It does not wait, and may be called concurrently with any other method.
+// UnreadBytes returns how many bytes have arrived and are not read yet. ok is false if that is not known: the hosts
+// of a deployment may reject the call. It does not wait, and may be called concurrently with any other method.
 func (c *Conn) UnreadBytes() (count int, ok bool) {
 	controlErr := c.raw.Control(func(fd uintptr) {
 		var err error
