policy: tenants beyond a bound from the memory limit are not kept

Cause: every new tenant got an entry and a timer for a minute at least.

Change: Settings.MaxTenants; further tenants are served without an entry, by the counter alone, and get nothing of a hard quota (docs/design.md).

--- a/cmd/fawnplank/memory_limit_test.go
+++ b/cmd/fawnplank/memory_limit_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -69,31 +70,35 @@
 	return "*5" + withoutBody[len("*4"):] + fmt.Sprintf("$%d\r\n%s\r\n", longValueBytes, body)
 }
 
-// serveLongValues answers each request with a value of longValueBytes.
-func serveLongValues(t *testing.T) string {
+// serveValues answers each request with a value of the given size.
+func serveValues(t *testing.T, size int) string {
 	t.Helper()
-	answer := fmt.Sprintf("*3\r\n$%d\r\n%s\r\n$-1\r\n$-1\r\n", longValueBytes, strings.Repeat("v", longValueBytes))
-	return testutil.ServeConnections(t, func(conn net.Conn) {
-		reader := bufio.NewReader(conn)
-		for {
-			if err := skipCommand(reader); err != nil {
-				return
-			}
-			if _, err := io.WriteString(conn, answer); err != nil {
-				return
-			}
+	answer := fmt.Sprintf("*3\r\n$%d\r\n%s\r\n$-1\r\n$-1\r\n", size, strings.Repeat("v", size))
+	return testutil.ServeConnections(t, func(conn net.Conn) { go answerRequests(conn, answer) })
+}
+
+// answerRequests answers each request on a connection until it ends.
+func answerRequests(conn net.Conn, answer string) {
+	reader := bufio.NewReader(conn)
+	for {
+		if err := skipCommand(reader); err != nil {
+			return
 		}
-	})
+		if _, err := io.WriteString(conn, answer); err != nil {
+			return
+		}
+	}
 }
 
 // skipCommand reads a command.
 func skipCommand(reader *bufio.Reader) error {
-	var words, size int
-	if _, err := fmt.Fscanf(reader, "*%d\r\n", &words); err != nil {
+	words, err := readLength(reader)
+	if err != nil {
 		return err
 	}
 	for range words {
-		if _, err := fmt.Fscanf(reader, "$%d\r\n", &size); err != nil {
+		size, err := readLength(reader)
+		if err != nil {
 			return err
 		}
 		if _, err := reader.Discard(size + len("\r\n")); err != nil {
@@ -103,6 +108,15 @@
 	return nil
 }
 
+// readLength reads a line that holds a type and a length.
+func readLength(reader *bufio.Reader) (int, error) {
+	line, err := reader.ReadString('\n')
+	if err != nil {
+		return 0, err
+	}
+	return strconv.Atoi(strings.TrimRight(line[1:], "\r\n"))
+}
+
 // Guards against a process that is killed for its memory: hundreds of clients that stopped in the middle of a request,
 // sent heads of very many short fields or many requests at once, or read long answers slowly held more than the whole
 // limit. Sound clients are served afterwards at full size.
@@ -119,7 +133,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			address := freeAddress(t)
-			process := startWithMemory(t, program, address, serveLongValues(t))
+			process := startWithMemory(t, program, address, serveValues(t, longValueBytes))
 			var clients sync.WaitGroup
 			for n := range hundredsOfClients {
 				clients.Go(func() {
@@ -141,6 +155,38 @@
 	}
 }
 
+// Guards against memory that grows without end: one client sends small requests on one connection at full speed, under
+// ever new names of tenants.
+func TestServe_FloodOfNewTenantsStaysWithinMemoryLimit(t *testing.T) {
+	const floodTime = 4 * time.Second
+	address := freeAddress(t)
+	process := startWithMemory(t, buildProgram(t), address, serveValues(t, 2))
+	conn := dial(t, address)
+	if err := conn.SetDeadline(time.Now().Add(floodTime)); err != nil {
+		t.Fatal(err)
+	}
+	answers := make(chan int)
+	go func() {
+		count := 0
+		for lines := bufio.NewScanner(conn); lines.Scan(); count++ { // ends at the deadline
+			continue
+		}
+		answers <- count
+	}()
+	sent := 0
+	for ; ; sent++ {
+		text := strings.Replace(request(fmt.Sprint(sent), requestFields), "0000000000000005", fmt.Sprintf("%016x", sent), 1)
+		if _, err := io.WriteString(conn, text); err != nil {
+			break
+		}
+	}
+	peak := peakKB(t, process.Process.Pid)
+	t.Logf("%d requests, %d lines of answers, peak memory %d kB", sent, <-answers, peak)
+	if peak > leastMemoryMB<<10 {
+		t.Errorf("the process used %d kB, its limit is %d MB", peak, leastMemoryMB)
+	}
+}
+
 // holdConnection sends input on a new connection, reads a little, and holds the connection for some seconds.
 func holdConnection(address, input string) {
 	const holdTime = 3 * time.Second
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -67,6 +67,13 @@
 // bytesPerMebibyte converts the value of the key memory_mb to bytes.
 const bytesPerMebibyte = 1 << 20
 
+const (
+	// tenantMemoryDivisor bounds the state of tenants to a part of the memory limit.
+	tenantMemoryDivisor = 32
+	// tenantBytes is the memory of a tenant's state, with the timer of its removal.
+	tenantBytes = 512
+)
+
 // minSockets covers the descriptors of the process itself, plus a few for clients and a few for backends.
 const minSockets = 64
 
@@ -140,6 +147,7 @@
 		MaxSockets:        clampToCount(limits.positiveNumberOr(keySockets, defaultMaxSockets)),
 		Zones:             settings.optionalStrings(keyZones),
 	}
+	c.Settings.MaxTenants = maxTenants(c.MemoryLimitBytes)
 	c.Seed = top.requiredHexadecimal("seed")
 	c.Counter = readCounterAddress(top, c.Settings.CounterEnabled)
 	permissions := settings.requiredObject(keyPermissions)
@@ -154,6 +162,11 @@
 	return c
 }
 
+// maxTenants returns for how many tenants state is kept with the given memory limit. Tenants may use a part of it.
+func maxTenants(memoryLimitBytes int64) int {
+	return int(max(memoryLimitBytes/tenantMemoryDivisor/tenantBytes, 1))
+}
+
 func readMemoryBytes(limits jsonObject) int64 {
 	mebibytes := clampToCount(limits.positiveNumberOr("memory_mb", defaultMemoryMebibytes))
 	return int64(mebibytes) * bytesPerMebibyte
--- a/policy/settings.go
+++ b/policy/settings.go
@@ -14,6 +14,9 @@
 	Classes []ClassSettings
 	Plans   []PlanSettings
 
+	// MaxTenants bounds the tenants for which state is kept; 0 means no bound. See Engine.findOrAddTenant.
+	MaxTenants int
+
 	// MaxAttempts bounds the attempts of a request, including the first.
 	MaxAttempts int
 	// Hedging allows a second attempt while one is in flight.
--- a/policy/tenant.go
+++ b/policy/tenant.go
@@ -32,9 +32,17 @@
 
 // findOrAddTenant returns the request's tenant, which is added if this instance has no state for it. It starts
 // the current window if the last one has ended, and resets the count if the tenant's plan has changed.
+//
+// Beyond Settings.MaxTenants a new tenant is not kept, so that a client which sends requests under ever new names cannot
+// use up the memory: its quota is checked by the counter alone, and a request under a hard quota is rejected.
 func (e *Engine) findOrAddTenant(now Instant, id TenantID, r *Request) *tenant {
 	t := e.tenants[id]
-	if t == nil {
+	switch {
+	case t != nil:
+	case e.settings.MaxTenants > 0 && len(e.tenants) >= e.settings.MaxTenants:
+		t = newTenant(id, r.plan, now)
+		t.hardQuotaBucket.UpdatedAt = now // the units that it used before are not known, so it has none
+	default:
 		t = e.addTenant(now, id, r.plan)
 	}
 	if t.plan != r.plan {
@@ -46,14 +54,20 @@
 }
 
 func (e *Engine) addTenant(now Instant, id TenantID, p *plan) *tenant {
-	t := &tenant{id: id, plan: p}
-	t.localUsage.UpdatedAt = now
+	t := newTenant(id, p, now)
 	t.hardQuotaBucket.UpdatedAt = e.startedAt
 	e.tenants[id] = t
 	e.scheduleEviction(now, t)
 	return t
 }
 
+// newTenant returns a tenant of which nothing is known.
+func newTenant(id TenantID, p *plan, now Instant) *tenant {
+	t := &tenant{id: id, plan: p}
+	t.localUsage.UpdatedAt = now
+	return t
+}
+
 // changePlan sets the tenant's plan and resets its count. The state that does not depend on the plan, local
 // usage and traffic, is kept.
 func (t *tenant) changePlan(p *plan) {
