frontend: the id of an ended request that may have run is not run again

Cause: an id was forgotten with the end of its request.

Change: ids of begun requests of classes that are not safe to repeat are kept for the longest deadline and a second, unless the client was told that a retry is harmless. Their number is bounded from the memory limit.

Not covered: the other process of an upgrade.

--- a/cmd/fawnplank/command_billing.go
+++ b/cmd/fawnplank/command_billing.go
@@ -139,7 +139,8 @@
 		Use: "resume", Short: "Resume the export after the store was restored from an old backup", Args: cobra.NoArgs,
 		Long: `Continues the export with sequence numbers after the last one that the receiver has. Drops the usage of
 windows that began before --drop-before, in accounts and in reports, because the lost state may have exported it already
-and it must not be billed twice. Ends the reservations in these windows, which may be committed already. Stop the gateways first; "fawnplank store run" runs the replica that --store names.`,
+and it must not be billed twice. Ends the reservations in these windows, which may be committed already.
+Stop the gateways first; "fawnplank store run" runs the replica that --store names.`,
 		Example: "  fawnplank billing resume --store 127.0.0.1:7101 --after 812 --drop-before 2026-04-01T12:00:00Z",
 		RunE: func(command *cobra.Command, _ []string) error {
 			return r.run(command.OutOrStdout(), globals.storeClient(r.store, "--store"))
--- a/cmd/fawnplank/gateway_start.go
+++ b/cmd/fawnplank/gateway_start.go
@@ -177,6 +177,7 @@
 		Pool:           g.pool,
 		Config:         g.configuration,
 		MaxConnections: g.resourceLimits.maxClientConnections(),
+		MaxUsedIDs:     g.resourceLimits.maxUsedRequestIDs(),
 		Metrics:        g.metrics,
 		Budget:         g.resourceLimits.newCommandBudget(),
 	}
--- a/cmd/fawnplank/resources.go
+++ b/cmd/fawnplank/resources.go
@@ -40,6 +40,10 @@
 	clientConnectionBytes = 12 << 10
 	// backendConnectionBytes is the memory of a connection to a backend, with that of the request which it carries.
 	backendConnectionBytes = 16 << 10
+	// usedIDMemoryDivisor and usedIDBytes bound the ids of ended requests that are kept, to a part of the collected
+	// memory at the size of such an id.
+	usedIDMemoryDivisor = 64
+	usedIDBytes         = 256
 	// collectorHeapGrowthPercent makes collections start at a heap of 2 MB; a collection takes about a millisecond
 	// because little memory is in use. With a larger percentage the heap grows for minutes before the first
 	// collection, which resembles a leak and occupies memory that nothing uses.
@@ -101,6 +105,11 @@
 	return (r.maxSockets - reservedDescriptors - r.managementConnections()) / connectionSides
 }
 
+// maxUsedRequestIDs returns how many ids of ended requests are kept at most.
+func (r resourceLimits) maxUsedRequestIDs() int {
+	return int(r.collectedBytes() / usedIDMemoryDivisor / usedIDBytes)
+}
+
 // newCommandBudget returns a budget for the memory of the clients' commands. It is separate from that of the responses,
 // because a command holds its memory until its response is written.
 func (r resourceLimits) newCommandBudget() *membudget.Budget {
--- a/internal/frontend/request.go
+++ b/internal/frontend/request.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"runtime/debug"
+	"sync/atomic"
 
 	"fawnplank/internal/dispatch"
 	"fawnplank/internal/logging"
@@ -24,6 +25,9 @@
 	budgetedBytes int64         // bytes acquired from the memory budget for raw
 	pipelineBytes int64         // bytes acquired from the memory budget until the response is written
 	usage         *requestUsage // nil if usage is not recorded
+	idempotency   policy.Idempotency
+	attemptBegun  atomic.Bool     // a byte of an attempt may have been written
+	finalAction   dispatch.Action // set before the command is completed
 }
 
 // handleRequest parses and submits a request, or answers it with an error or a rejection. valid is false if the
@@ -66,9 +70,11 @@
 		raw:        raw,
 		fields:     spanOf(raw, head.fields),
 		remaining:  spanOf(raw, head.remainingText),
+
+		idempotency: head.config.Settings.Classes[head.class].Idempotency,
 	}
-	if !c.server.claimRequestID(p.id) {
-		return errRequestIDInUse
+	if err := c.server.claimRequestID(p.id); err != nil {
+		return err
 	}
 	if !c.enqueue(p) {
 		c.server.releaseRequestID(p.id)
@@ -120,6 +126,7 @@
 func (p *pendingCommand) handleFinalStep(step dispatch.Step) {
 	c := p.connection
 	s := c.server
+	p.finalAction = step.Action
 	switch step.Action {
 	case dispatch.Respond:
 		p.respond(step)
--- a/internal/frontend/request_rewrite.go
+++ b/internal/frontend/request_rewrite.go
@@ -27,6 +27,7 @@
 // Parts implements backend.Command. It returns the command with the value of d replaced by remaining, the time for
 // which the dispatcher waits for the attempt. The value is in whole milliseconds and at least 1.
 func (p *pendingCommand) Parts(remaining time.Duration) [][]byte {
+	p.attemptBegun.Store(true)
 	milliseconds := max(int64(remaining/time.Millisecond), 1)
 	value := strconv.AppendInt(make([]byte, 0, maxIntegerLineBytes), milliseconds, decimalBase)
 	fieldsLength := p.fields.size() + len(value) - p.remaining.size()
--- a/internal/frontend/request_test.go
+++ b/internal/frontend/request_test.go
@@ -61,8 +61,8 @@
 	other.expect(okClientResponse)
 	h.server.mu.Lock()
 	defer h.server.mu.Unlock()
-	if len(h.server.requestIDs) > 0 {
-		t.Errorf("%d ids are still claimed, want 0", len(h.server.requestIDs))
+	if open := len(h.server.requestIDs.open); open > 0 {
+		t.Errorf("%d ids are still claimed, want 0", open)
 	}
 }
 
--- a/internal/frontend/responses.go
+++ b/internal/frontend/responses.go
@@ -46,7 +46,7 @@
 // that are now next in order.
 func (c *connection) complete(p *pendingCommand, response []byte) {
 	if p.request != nil {
-		c.server.releaseRequestID(p.id)
+		c.server.endRequestID(p)
 		c.server.metrics.RequestEnded()
 		c.server.memoryBudget.AddGarbage(p.budgetedBytes)
 		c.server.memoryBudget.Release(p.budgetedBytes)
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -29,6 +29,8 @@
 	Config     *config.Config
 	// MaxConnections limits how many client connections are open at once.
 	MaxConnections int
+	// MaxUsedIDs limits the ids of ended requests that are kept so that no request runs twice. Zero keeps none.
+	MaxUsedIDs int
 	// Metrics counts received, open and answered requests. Nil disables counting.
 	Metrics *metrics.Registry
 	// Budget limits the memory of large commands; the budget for large responses is separate. Nil means no limit.
@@ -64,9 +66,9 @@
 
 	mu                      sync.Mutex
 	connections             map[*connection]struct{}
-	requestIDs              map[string]struct{} // the ids of the open requests
-	statsAtDrainStart       Stats               // the counts at the start of the drain
-	connectionCapacityFreed *sync.Cond          // signals that a connection has ended or may have become idle
+	requestIDs              requestIDs
+	statsAtDrainStart       Stats      // the counts at the start of the drain
+	connectionCapacityFreed *sync.Cond // signals that a connection has ended or may have become idle
 }
 
 // New returns a server that is not serving yet. It starts no goroutine and acquires no resource that has to be
@@ -81,7 +83,7 @@
 		maxConnections:    options.MaxConnections,
 		evictionThreshold: evictionThreshold(options.Config.MaxSockets, options.MaxConnections),
 		connections:       map[*connection]struct{}{},
-		requestIDs:        map[string]struct{}{},
+		requestIDs:        newRequestIDs(options.MaxUsedIDs),
 		drain:             newDrainClock(),
 	}
 	s.connectionCapacityFreed = sync.NewCond(&s.mu)
--- a/policy/tenant.go
+++ b/policy/tenant.go
@@ -33,8 +33,9 @@
 // findOrAddTenant returns the request's tenant, which is added if this instance has no state for it. It starts
 // the current window if the last one has ended, and resets the count if the tenant's plan has changed.
 //
-// Beyond Settings.MaxTenants a new tenant is not kept, so that a client which sends requests under ever new names cannot
-// use up the memory: its quota is checked by the counter alone, and a request under a hard quota is rejected.
+// Beyond Settings.MaxTenants a new tenant is not kept, so that a client which sends requests under ever new names
+// cannot use up the memory: its quota is checked by the counter alone, and a request under a hard quota is
+// rejected.
 func (e *Engine) findOrAddTenant(now Instant, id TenantID, r *Request) *tenant {
 	t := e.tenants[id]
 	switch {
