--- a/internal/retryaccept/retryaccept_test.go
+++ b/internal/retryaccept/retryaccept_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net"
 	"os"
+	"sync"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -67,14 +68,22 @@
 // A connection that waits to be accepted has arrived after the last accept that found none waiting.
 func TestListener_EarliestArrivalOfWaitingConnections(t *testing.T) {
 	listener := New(testutil.Listen(t), "test")
+	var dials sync.WaitGroup
 	dial := func() {
-		t.Helper()
 		conn, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", listener.Addr().String())
 		if err != nil {
-			t.Fatal(err)
+			t.Error(err)
+			return
 		}
 		t.Cleanup(func() { _ = conn.Close() })
 	}
+	dialLater := func() {
+		dials.Go(func() {
+			time.Sleep(2 * backlogAcceptTime)
+			dial()
+		})
+	}
+	defer dials.Wait()
 	accept := func() time.Time {
 		t.Helper()
 		conn, err := listener.Accept()
@@ -84,7 +93,7 @@
 		_ = conn.Close()
 		return listener.EarliestArrival()
 	}
-	time.AfterFunc(2*backlogAcceptTime, dial)
+	dialLater()
 	first := accept()
 	dial()
 	time.Sleep(10 * backlogAcceptTime)
@@ -92,7 +101,7 @@
 		t.Errorf("a connection that was waiting arrived %v after the last accept that waited, want 0", second.Sub(first))
 	}
 	start := time.Now()
-	time.AfterFunc(2*backlogAcceptTime, dial)
+	dialLater()
 	if third := accept(); third.Before(start) {
 		t.Error("a connection for which the accept waited seems to have arrived before it")
 	}
