backend: the end of a large command is held back until the rest has arrived

Two attempts were out at once, and effects happened twice. The same bytes ran after a client had left and after the final answer.

Cause: an attempt counted as written once it was in the send buffer, which the system goes on to send; and its time ran while its command was on the way.

Change: the last 64 bytes of commands over 4 KiB wait until the backend's machine was sent the rest and its window is open again; the dispatcher then allows them or not, so that what is given up before never ran. The attempt timeout counts from the last progress. A connection with unacknowledged bytes is reset when its attempt is given up.

TestConn_AbandonDropsUnacknowledgedBytes fails without the reset. Small commands make no more system calls. Not covered: a machine whose receive buffer takes the whole command.

--- a/internal/backend/abandonment.go
+++ b/internal/backend/abandonment.go
@@ -31,17 +31,29 @@
 		if c.state == stateWriting {
 			c.idleDuration = noIdleDuration // closed by this instance: no evidence of how long idle connections last
 		}
-		c.close()
+		c.reset()
 		return true
 	}
 	c.attempt = nil
 	if c.state.isClosed() { // the reader has ended, and there is nothing left to read
 		return false
 	}
+	if c.mayArriveLater() {
+		c.reset()
+		return false
+	}
 	c.discardResponse()
 	return false
 }
 
+// mayArriveLater reports whether the backend's machine has not acknowledged all of the command, and so has not answered
+// it. If only the sending side were closed, the system would go on to send the rest, for seconds: to a machine that is
+// cut off, or one whose program does not read.
+func (c *conn) mayArriveLater() bool {
+	queue, ok := c.socket.SendQueue()
+	return ok && queue.Unacknowledged > 0
+}
+
 // discardResponse makes the reader discard the response to an abandoned attempt and then close the connection. It
 // guards against cutting off a response that the backend is sending or about to send: the operators count a long
 // response that is cut off as a lost request. In return, the connection and its memory are held longer; a backend
--- a/internal/backend/attempt_writer.go
+++ b/internal/backend/attempt_writer.go
@@ -23,18 +23,25 @@
 	if !started {
 		return
 	}
-	parts := command.Parts(attempt.Remaining())
-	size := commandBytes(parts)
-	progress := dispatch.Writing
-	written, err := c.socket.WriteBuffers(parts...)
-	if written == size {
-		progress = dispatch.Written
-	}
+	progress, err := c.writeCommand(attempt, command)
 	if failure := c.finishWrite(attempt, progress, err); failure != nil {
 		attempt.Report(nil, 0, failure)
 	}
 }
 
+// writeCommand writes the command of an attempt. progress is dispatch.Written if it was written completely.
+func (c *conn) writeCommand(attempt *dispatch.Attempt, command Command) (progress dispatch.Progress, err error) {
+	if command.Size() > maxImmediateWriteBytes {
+		return c.deliver(attempt, command.Parts(attempt.RemainingForRequest()))
+	}
+	parts := command.Parts(attempt.Remaining())
+	written, err := c.socket.WriteBuffers(parts...)
+	if written < commandBytes(parts) {
+		return dispatch.Writing, err
+	}
+	return dispatch.Written, err
+}
+
 // commandBytes returns the size in bytes of a command in parts.
 func commandBytes(parts [][]byte) int64 {
 	size := int64(0)
@@ -75,7 +82,7 @@
 	// The command was written only in part, because of an early response, an abandonment or a failed write: no
 	// other command may follow it on this connection.
 	if progress != dispatch.Written {
-		c.close()
+		c.reset()
 	}
 	if c.state == stateRespondedEarly {
 		_ = c.socket.SetWriteDeadline(time.Time{}) // fails only if the connection has ended, which the reader detects
--- a/internal/backend/connection.go
+++ b/internal/backend/connection.go
@@ -87,7 +87,15 @@
 
 // close closes the connection, removes it from the idle connections and releases its slot. Only the first call has an
 // effect. The caller holds the Pool's lock.
-func (c *conn) close() {
+func (c *conn) close() { c.end((*sock.Conn).Close) }
+
+// reset is close for a connection with a command that must not arrive completely any more: what the backend's machine
+// has not received is dropped.
+func (c *conn) reset() { c.end((*sock.Conn).Reset) }
+
+// end ends the connection with a function that closes its socket. Only the first call has an effect. The caller holds
+// the Pool's lock.
+func (c *conn) end(closeSocket func(*sock.Conn) error) {
 	if c.state.isClosed() {
 		return
 	}
@@ -100,5 +108,5 @@
 	if i := slices.Index(c.endpoint.idle, c); i >= 0 {
 		c.endpoint.idle = slices.Delete(c.endpoint.idle, i, i+1)
 	}
-	_ = c.socket.Close() // the connection is not used again, so the error has no consequence
+	_ = closeSocket(c.socket) // the connection is not used again, so the error has no consequence
 }
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -87,8 +87,11 @@
 	request   *Request
 	id        policy.AttemptID
 	createdAt policy.Instant
-	// resultDeadline is when the dispatcher stops waiting for the result.
+	// resultDeadline is when the dispatcher stops waiting for the result. Progress of the command on its way to the
+	// backend moves it, with the dispatcher's lock held and on the goroutine of the writer.
 	resultDeadline policy.Instant
+	// deadlineMoves counts the changes of resultDeadline. The dispatcher's lock guards it.
+	deadlineMoves int
 	// startDeadline is the time from which the attempt must not be started; see mayStart.
 	startDeadline policy.Instant
 	state         atomicAttemptState
@@ -96,6 +99,12 @@
 	// responseStartedAt is when a streamed response began; zero if the response is not streamed. The dispatcher's lock
 	// guards it.
 	responseStartedAt policy.Instant
+	// delivering is set while the end of the command is held back; see BeginDelivery. The dispatcher's lock guards it.
+	delivering bool
+	// deliveryBegunAt is when BeginDelivery was called, and progressAt when the command last made progress after
+	// that. The dispatcher's lock guards them.
+	deliveryBegunAt policy.Instant
+	progressAt      policy.Instant
 	// outcomeIfWritten is the outcome of an abandoned attempt if it was written completely. The dispatcher's
 	// lock guards it.
 	outcomeIfWritten policy.Outcome
@@ -127,6 +136,12 @@
 	return a.resultDeadline.Sub(a.request.dispatcher.now())
 }
 
+// RemainingForRequest returns how much longer the dispatcher waits for a result of the request, which bounds the time
+// for an attempt whose command is long on its way. It is negative after the request's deadline.
+func (a *Attempt) RemainingForRequest() time.Duration {
+	return a.request.deadline.Sub(a.request.dispatcher.now())
+}
+
 // cancel ends the attempt with the outcome ConnectFailed if it has not started, and with outcomeIfStarted
 // otherwise. For an attempt that is being written, outcomeIfStarted applies only if its writer reports that the
 // request was written completely. The outcome is passed to the engine after the current call into the engine has
--- a/internal/dispatch/effects.go
+++ b/internal/dispatch/effects.go
@@ -44,7 +44,7 @@
 		request:        r,
 		id:             policy.AttemptID(len(r.attempts)),
 		createdAt:      r.dispatcher.now(),
-		resultDeadline: r.resultDeadline(spec),
+		resultDeadline: r.resultDeadline(spec.ExpiresAt),
 		startDeadline:  spec.StartBefore,
 	}
 	r.attempts = append(r.attempts, attempt)
@@ -52,12 +52,12 @@
 }
 
 // resultDeadline returns when the dispatcher stops waiting for an attempt's result: at the request's deadline, or
-// when the attempt expires if the engine set an earlier time for that.
-func (r *Request) resultDeadline(spec policy.AttemptSpec) policy.Instant {
-	if spec.ExpiresAt.IsZero() {
+// when the attempt expires if the engine set an earlier time for that. expiresAt is zero if it did not.
+func (r *Request) resultDeadline(expiresAt policy.Instant) policy.Instant {
+	if expiresAt.IsZero() {
 		return r.deadline
 	}
-	return monotime.Earlier(r.deadline, spec.ExpiresAt)
+	return monotime.Earlier(r.deadline, expiresAt)
 }
 
 // Cancel cancels an attempt, unless it has already ended.
--- a/internal/dispatch/outcome.go
+++ b/internal/dispatch/outcome.go
@@ -33,11 +33,19 @@
 
 // reportedOutcome returns the outcome of an attempt whose result is reported. Abandoning an attempt closes its
 // connection. If the request was written completely before that, the outcome is outcomeIfWritten and not
-// ConnectionLost, which would count against the backend. The caller holds the dispatcher's lock.
+// ConnectionLost, and otherwise LocalFailure and not ConnectFailed: both would count against the backend. The caller
+// holds the dispatcher's lock.
 func (a *Attempt) reportedOutcome(err error) policy.Outcome {
 	outcome := outcomeOf(err)
-	if a.state.load() == attemptAbandoned && outcome == policy.ConnectionLost {
+	if a.state.load() != attemptAbandoned {
+		return outcome
+	}
+	switch outcome {
+	case policy.ConnectionLost:
 		return a.outcomeIfWritten
+	case policy.ConnectFailed:
+		return policy.LocalFailure
+	default:
+		return outcome
 	}
-	return outcome
 }
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -135,6 +135,7 @@
 	r.finished = true
 	r.finalStep = step
 	r.cancelWaitingAttempts()
+	r.cancelUnfinished()
 	r.pendingAttempts <- nil
 	r.removeIfDone() // a counter result or a timer may finish the request while no attempt is in flight
 }
--- a/internal/dispatch/response_stream.go
+++ b/internal/dispatch/response_stream.go
@@ -50,10 +50,12 @@
 }
 
 // elapsed returns how long the attempt has taken. For a streamed response that is the time to its beginning, since the
-// rest depends on how fast the client reads. The caller holds the dispatcher's lock.
+// rest depends on how fast the client reads. The time for which a command was long on its way depends on its size and
+// does not count. The caller holds the dispatcher's lock.
 func (a *Attempt) elapsed(now policy.Instant) time.Duration {
+	end := now
 	if !a.responseStartedAt.IsZero() {
-		return a.responseStartedAt.Sub(a.createdAt)
+		end = a.responseStartedAt
 	}
-	return now.Sub(a.createdAt)
+	return end.Sub(a.createdAt) - a.progressAt.Sub(a.deliveryBegunAt)
 }
--- a/internal/dispatch/timers.go
+++ b/internal/dispatch/timers.go
@@ -39,6 +39,8 @@
 	kind    timerKind
 	id      policy.TimerID // of a wakeUpTimer, from the engine
 	attempt *Attempt       // of a timer of any other kind
+	// deadlineMoves is the attempt's deadlineMoves when a resultDeadlineTimer was set: a later move makes it obsolete.
+	deadlineMoves int
 }
 
 // isObsolete reports whether there is nothing left to do when the timer expires. The caller holds the lock.
@@ -50,7 +52,7 @@
 		return t.attempt.state.load() != attemptWaiting
 	case resultDeadlineTimer:
 		state := t.attempt.state.load()
-		return state == attemptSettled || state == attemptStreaming
+		return state == attemptSettled || state == attemptStreaming || t.deadlineMoves != t.attempt.deadlineMoves
 	}
 	return true
 }
@@ -64,6 +66,20 @@
 	}
 }
 
+// moveResultDeadline changes when the dispatcher stops waiting for an attempt's result. The caller holds the lock.
+func (d *Dispatcher) moveResultDeadline(attempt *Attempt, deadline policy.Instant) {
+	if deadline == attempt.resultDeadline {
+		return
+	}
+	attempt.resultDeadline = deadline
+	attempt.deadlineMoves++
+	d.timers.Push(deadline, timer{
+		kind:          resultDeadlineTimer,
+		attempt:       attempt,
+		deadlineMoves: attempt.deadlineMoves,
+	})
+}
+
 // resetQueueTimer sets queueTimer to the earliest timer that is not obsolete. The caller holds the lock.
 func (d *Dispatcher) resetQueueTimer() {
 	next, ok := d.timers.NextDue(d.isObsolete)
--- a/policy/attempt.go
+++ b/policy/attempt.go
@@ -15,8 +15,12 @@
 	concurrency      float64 // attempts of this instance in flight at the backend, this one included
 	inFlight         bool
 	mayHaveRun       bool
-	overdue          bool // in flight for longer than the attempt timeout
+	overdue          bool // without progress for longer than timeout
 	isBaselineSample bool // among the first baselineSamples attempts of the instance
+
+	timeout           time.Duration // see attemptTimeout
+	waitingSince      Instant       // sentAt, or when the command last made progress on its way to the backend
+	deliveredFraction float64       // of a command that is long on its way; see Delivery
 }
 
 // mayAttempt reports whether rules 1 to 4 allow an attempt at a backend. It is called when a backend is picked, and
@@ -80,19 +84,19 @@
 		return false
 	}
 	e := r.engine
-	id := len(r.attempts)
+	id := AttemptID(len(r.attempts))
 	// If the connection is established late, the backend may have dropped the idempotency key of an earlier attempt. The
 	// bound is computed before the new attempt is added, since that one counts as an attempt that may have run.
 	startBefore := monotime.Earlier(r.deadline, r.keyRetainedUntil())
 	a := r.addAttempt(now, b)
-	timeout := r.attemptTimeout()
+	a.timeout = r.attemptTimeout()
 	e.effects.Send(AttemptSpec{
 		Request:     r.id,
 		Backend:     b.id,
-		ExpiresAt:   r.attemptExpiry(now, timeout),
+		ExpiresAt:   r.attemptExpiry(now, a.timeout),
 		StartBefore: startBefore,
 	})
-	e.schedule(now.Add(timeout), &a.inFlight, func(now Instant) { r.handleOverdue(now, id) })
+	e.schedule(now.Add(a.timeout), &a.inFlight, func(now Instant) { r.handleOverdue(now, id) })
 	return true
 }
 
@@ -132,6 +136,7 @@
 		zone:             b.zone,
 		group:            b.group,
 		sentAt:           now,
+		waitingSince:     now,
 		concurrency:      float64(b.inFlight),
 		inFlight:         true,
 		mayHaveRun:       true,
--- a/policy/hedging.go
+++ b/policy/hedging.go
@@ -9,9 +9,9 @@
 	stallRatio = 5
 	// minAttemptTimeoutPercent and maxAttemptTimeoutPercent bound the attempt timeout, as percentages of the latency
 	// objective. Overload has to be detected by the upper bound, and after it too little time is left for another
-	// attempt. If the mean latency exceeds a seventh of the objective, the upper bound is reached before stallRatio, and
-	// no attempt counts as stalled. Before the first answer the mean latency is 0, and an unanswered attempt counts as
-	// stalled at the lower bound.
+	// attempt. If the mean latency exceeds a seventh of the objective, the upper bound is reached before stallRatio,
+	// and no attempt counts as stalled. Before the first answer the mean latency is 0, and an unanswered attempt
+	// counts as stalled at the lower bound.
 	minAttemptTimeoutPercent = 40
 	maxAttemptTimeoutPercent = 70
 )
@@ -26,23 +26,28 @@
 }
 
 // handleOverdue records the elapsed time of an overdue attempt as a latency. If the attempt is stalled, it ejects the
-// backend and replaces the attempt. It runs once for each attempt, at the attempt timeout.
-func (r *Request) handleOverdue(now Instant, attemptIndex int) {
-	e, a := r.engine, r.attempts[attemptIndex]
+// backend and replaces the attempt. It runs at the attempt timeout, and again later if the command of the attempt is
+// still on its way.
+func (r *Request) handleOverdue(now Instant, id AttemptID) {
+	e, a := r.engine, r.attempts[id]
+	if !a.timeoutPassed(now) {
+		r.handleLateDelivery(now, id)
+		return
+	}
 	a.overdue = true
 	expected := e.latency.mean.Value * e.relativeCost(r.units) // computed before this attempt is recorded
 	e.inFlightNotOverdue--
 	if r.finished || r.responseStarted {
 		return
 	}
-	elapsed := float64(now.Sub(a.sentAt))
+	elapsed := float64(a.waitingFor(now))
 	// Recording the elapsed time now detects overload before the late answers arrive.
 	e.recordLatency(a.backend, elapsed/e.relativeCost(r.units), a.concurrency)
-	if a.backend.lastAnswerAt.After(a.sentAt) || elapsed < stallRatio*expected {
+	if a.backend.lastAnswerAt.After(a.waitingSince) || elapsed < stallRatio*expected {
 		return
 	}
 	e.eject(now, a.backend)
-	r.replaceStalled(now, AttemptID(attemptIndex))
+	r.replaceStalled(now, id)
 }
 
 // replaceStalled sends a hedged attempt in parallel to a stalled one. Where hedging is not allowed, it cancels the
--- a/policy/types.go
+++ b/policy/types.go
@@ -48,7 +48,7 @@
 	ConnectionLost         // the connection broke; may have run
 	Canceled               // canceled by Effects.Cancel; may have run
 	NotSent                // never sent
-	LocalFailure           // this instance could not open a connection; did not run
+	LocalFailure           // not connected, or given up before it was written, by this instance alone; did not run
 )
 
 func (o Outcome) String() string {
