dispatch: a backend's new process gets no attempt decided for the former one

Idle connections to the former process stayed in use.

Cause: the pool knows a backend by its address alone, and waiting attempts were canceled only where a backend drains, is gone or moves.

Change: another start time, zone or group cancels the attempts that wait, as ones that never ran; another start time resets the backend's connections.

Result: TestDispatcher_NewIncarnationGetsNoWaitingAttempts (four cases) and TestPublisher_NewProcessGetsNewConnections fail before, pass now; the case "replaced" of TestConn_AttemptIsNotSentToFormerAddress tests a new function. Not run on real processes.

--- a/internal/backend/connection_test.go
+++ b/internal/backend/connection_test.go
@@ -42,6 +42,8 @@
 	for name, change := range map[string]func(p *Pool){
 		"moved":   func(p *Pool) { p.SetAddress(1, "127.0.0.1:1") },
 		"removed": func(p *Pool) { p.RemoveBackend(1) },
+		// Another process listens at the address, which was taken for the former one.
+		"replaced": func(p *Pool) { p.ResetConnections(1) },
 	} {
 		t.Run(name, func(t *testing.T) {
 			p := New(Options{
--- a/internal/backend/endpoints.go
+++ b/internal/backend/endpoints.go
@@ -44,6 +44,19 @@
 	p.replaceEndpoint(backend, &endpoint{key: fmt.Sprint(addresses), addresses: order})
 }
 
+// ResetConnections gives up the connections to a backend whose process was replaced by another one at the same address:
+// it closes the idle ones, and no attempt is written to one that is being opened. Attempts already sent continue.
+func (p *Pool) ResetConnections(backend policy.BackendID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	former := p.endpoints[backend]
+	if former == nil {
+		return
+	}
+	p.removeEndpoint(backend)
+	p.endpoints[backend] = &endpoint{key: former.key, addresses: former.addresses}
+}
+
 // RemoveBackend removes a backend that is gone and closes its idle connections. Attempts already sent to it continue.
 func (p *Pool) RemoveBackend(backend policy.BackendID) {
 	p.mu.Lock()
--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -27,6 +27,8 @@
 	SetAddress(backend policy.BackendID, address string)
 	// SetAddresses sets the addresses of a backend that has several.
 	SetAddresses(backend policy.BackendID, addresses []netip.AddrPort)
+	// ResetConnections gives up the connections to a backend that was started anew at the same address.
+	ResetConnections(backend policy.BackendID)
 	// RemoveBackend removes a backend that is no longer listed.
 	RemoveBackend(backend policy.BackendID)
 }
--- a/internal/discovery/harness_test.go
+++ b/internal/discovery/harness_test.go
@@ -27,6 +27,7 @@
 type recorder struct {
 	updates   chan update
 	addresses map[policy.BackendID]string
+	resets    int // calls of ResetConnections
 }
 
 func newRecorder() *recorder {
@@ -41,6 +42,8 @@
 	r.addresses[backend] = fmt.Sprint(addresses)
 }
 
+func (r *recorder) ResetConnections(policy.BackendID) { r.resets++ }
+
 func (r *recorder) RemoveBackend(backend policy.BackendID) { delete(r.addresses, backend) }
 
 func (r *recorder) UpdateEndpoints(kind policy.UpdateKind, endpoints []policy.Endpoint) {
--- a/internal/discovery/publisher.go
+++ b/internal/discovery/publisher.go
@@ -31,6 +31,7 @@
 	names       map[policy.BackendID]string
 	listed      map[policy.BackendID]bool
 	draining    map[policy.BackendID]bool // whether a listed backend gets no new attempts
+	startedAt   map[policy.BackendID]policy.Instant
 }
 
 // zoneIDs maps zone names to ids. The zones of the configuration get the first ids, other zones the next ones in the
@@ -56,6 +57,7 @@
 		names:       map[policy.BackendID]string{},
 		listed:      map[policy.BackendID]bool{},
 		draining:    map[policy.BackendID]bool{},
+		startedAt:   map[policy.BackendID]policy.Instant{},
 	}
 	for _, zone := range options.Config.Zones {
 		p.zones.idFor(zone)
@@ -79,6 +81,7 @@
 			continue
 		}
 		p.setAddress(backend, endpoint)
+		p.recordStart(updates[i])
 		listed[backend] = true
 	}
 	if kind != policy.Delta {
@@ -117,6 +120,16 @@
 	return monotime.FromNanos(micros * int64(time.Microsecond))
 }
 
+// recordStart records when a backend was started. If that is another process than before, connections to the former
+// one, whose machine may have fallen silent, are not used for it, nor those that are being opened at its address.
+func (p *publisher) recordStart(update policy.Endpoint) {
+	former, known := p.startedAt[update.Backend]
+	if known && former != update.StartedAt {
+		p.addressBook.ResetConnections(update.Backend)
+	}
+	p.startedAt[update.Backend] = update.StartedAt
+}
+
 func (p *publisher) setAddress(backend policy.BackendID, endpoint Endpoint) {
 	if len(endpoint.Addresses) > 0 {
 		p.addressBook.SetAddresses(backend, endpoint.Addresses)
@@ -140,6 +153,7 @@
 	p.addressBook.RemoveBackend(backend)
 	delete(p.listed, backend)
 	delete(p.draining, backend)
+	delete(p.startedAt, backend)
 	delete(p.ids, p.names[backend])
 	delete(p.names, backend)
 }
--- a/internal/discovery/publisher_test.go
+++ b/internal/discovery/publisher_test.go
@@ -58,3 +58,19 @@
 		t.Errorf("%d backends are listed, want 1", len(p.listed))
 	}
 }
+
+// Guards against an attempt to a process that was taken for another one: connections to the former process of a backend
+// were kept when the list showed a new one at the same address.
+func TestPublisher_NewProcessGetsNewConnections(t *testing.T) {
+	p, r := newTestPublisher()
+	listed := Endpoint{Name: "s-1", Address: "127.0.0.1:1", Status: StatusUp, StartedAtMillis: 1000}
+	restarted := listed
+	restarted.StartedAtMillis = 2000
+	for want, list := range [][]Endpoint{{listed}, {restarted}} {
+		p.publish(policy.Delta, list)
+		p.publish(policy.Delta, list) // the same process
+		if r.resets != want {
+			t.Errorf("start at %v: connections reset %d times, want %d", list[0].StartedAtMillis, r.resets, want)
+		}
+	}
+}
--- a/internal/discovery/startup_test.go
+++ b/internal/discovery/startup_test.go
@@ -55,6 +55,7 @@
 func (i *instance) SetAddress(policy.BackendID, string)             {}
 func (i *instance) SetAddresses(policy.BackendID, []netip.AddrPort) {}
 func (i *instance) RemoveBackend(policy.BackendID)                  {}
+func (i *instance) ResetConnections(policy.BackendID)               {}
 func (i *instance) CheckHealth(policy.BackendID)                    {}
 func (i *instance) Add(policy.CounterKey, float64, time.Duration)   {}
 func (i *instance) Flush()                                          {}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -74,6 +74,7 @@
 	latestWakeUp  policy.TimerID        // id of the latest wake-up that replaces earlier ones
 	wallNow       func() policy.Instant // the wall clock, as Unix time
 	backendStarts startTimes            // when the backends started
+	incarnations  incarnations          // of the backends that are listed
 	// The effects that the engine requested during a call. They are carried out after that call has returned.
 	endedAttempts []endedAttempt
 	networkWork   networkWork
@@ -96,11 +97,12 @@
 // report to the dispatcher, so they are created after New and before Start.
 func New() *Dispatcher {
 	d := &Dispatcher{
-		startedAt:  time.Now(),
-		wallNow:    func() policy.Instant { return monotime.FromNanos(time.Now().UnixNano()) },
-		stopped:    make(chan struct{}),
-		requests:   map[policy.RequestID]*Request{},
-		queueTimer: time.NewTimer(initialTimerDelay),
+		startedAt:    time.Now(),
+		wallNow:      func() policy.Instant { return monotime.FromNanos(time.Now().UnixNano()) },
+		stopped:      make(chan struct{}),
+		requests:     map[policy.RequestID]*Request{},
+		queueTimer:   time.NewTimer(initialTimerDelay),
+		incarnations: incarnations{},
 	}
 	d.startedAtUnix = monotime.FromNanos(d.startedAt.UnixNano())
 	return d
--- a/internal/dispatch/dispatcher_test.go
+++ b/internal/dispatch/dispatcher_test.go
@@ -4,9 +4,13 @@
 	"testing"
 	"time"
 
+	"fawnplank/internal/monotime"
 	"fawnplank/policy"
 )
 
+// atSecond returns the Instant that lies the given number of seconds after the clock's zero.
+func atSecond(seconds int64) policy.Instant { return monotime.FromNanos(seconds * int64(time.Second)) }
+
 // TestDispatcher_UpdateEndpointsCancelsWaitingAttempts checks that an attempt that waits for its connection when its
 // backend begins to drain is not written, since connecting may take longer than the grace period of the drain.
 func TestDispatcher_UpdateEndpointsCancelsWaitingAttempts(t *testing.T) {
@@ -39,6 +43,50 @@
 	}
 }
 
+// Guards against an attempt to a process that was taken for another one: it waited for its connection when its backend
+// was replaced by a new process at the same address, or by one with another zone or group, whose processes do not know
+// the keys of the old one's. The new process is not held to have failed.
+func TestDispatcher_NewIncarnationGetsNoWaitingAttempts(t *testing.T) {
+	for name, replaced := range map[string]policy.Endpoint{
+		"new process":   {StartedAt: atSecond(1000)},
+		"other zone":    {Zone: 1},
+		"other group":   {Group: 1},
+		"warming group": {Group: 2, StartedAt: atSecond(1000)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			withFakeNetwork(t, 1, testSettings, func(n *fakeNetwork) {
+				request := n.submit(1, time.Second)
+				first := request.NextStep().Attempt
+				replaced.Backend, replaced.State = first.Backend, policy.EndpointReady
+				n.updateEndpoints(policy.Delta, replaced)
+				if first.Start(newFakeConn(true)) {
+					t.Error("the attempt was started")
+					first.Report(nil, 0, nil)
+					return
+				}
+				if step := request.NextStep(); step.Action != Send {
+					t.Errorf("step %+v, want another attempt", step)
+				}
+				request.HandleClientGone()
+			})
+		})
+	}
+}
+
+// TestDispatcher_UnchangedBackendKeepsWaitingAttempts checks that a list without changes cancels nothing.
+func TestDispatcher_UnchangedBackendKeepsWaitingAttempts(t *testing.T) {
+	withFakeNetwork(t, 1, testSettings, func(n *fakeNetwork) {
+		request := n.submit(0, time.Second)
+		first := request.NextStep().Attempt
+		n.updateEndpoints(policy.FullSnapshot, policy.Endpoint{Backend: 1, State: policy.EndpointReady},
+			policy.Endpoint{Backend: 2, State: policy.EndpointReady})
+		if !first.Start(newFakeConn(true)) {
+			t.Error("the attempt was canceled")
+		}
+		first.Report(nil, 0, nil)
+	})
+}
+
 // TestDispatcher_PanicReleasesLock checks that requests of other connections are still handled after a panic in the
 // engine.
 func TestDispatcher_PanicReleasesLock(t *testing.T) {
--- a/internal/dispatch/endpoints.go
+++ b/internal/dispatch/endpoints.go
@@ -9,16 +9,32 @@
 
 // UpdateEndpoints passes the list of backends, or changes to it, to the engine. It cancels attempts that
 // still wait for a connection to a backend that is now draining or gone, since connecting may take longer than
-// the backend stays up. The kind policy.UpdateFailed, which has no endpoints, means that the watch has failed.
+// the backend stays up, or that is another incarnation: the decision for the attempt was about the former one. The kind
+// policy.UpdateFailed, which has no endpoints, means that the watch has failed.
 func (d *Dispatcher) UpdateEndpoints(kind policy.UpdateKind, endpoints []policy.Endpoint) {
 	d.callEngine(func(now policy.Instant) {
 		clocks := clockReadings{now: now, wallNow: d.wallNow()}
 		endpoints := d.backendStarts.translate(clocks, kind, endpoints)
 		d.engine.UpdateEndpoints(now, kind, endpoints)
 		d.cancelUnusableAttempts(newEndpointUpdate(kind, endpoints))
+		for _, backend := range d.incarnations.update(kind, endpoints) {
+			d.cancelWaitingAt(backend)
+		}
 	})
 }
 
+// cancelWaitingAt cancels the attempts at a backend that have not started. They are not held against the backend. The
+// caller holds the lock.
+func (d *Dispatcher) cancelWaitingAt(backend policy.BackendID) {
+	for _, id := range slices.Sorted(maps.Keys(d.requests)) {
+		for _, attempt := range d.requests[id].attempts {
+			if attempt.Backend == backend {
+				attempt.cancelWaiting(policy.LocalFailure)
+			}
+		}
+	}
+}
+
 // cancelUnusableAttempts cancels attempts that have not started and whose backends the update makes unavailable.
 // The caller holds the lock.
 func (d *Dispatcher) cancelUnusableAttempts(update endpointUpdate) {
