discovery: a new process of the service with lower indexes is recognized

Cause: the answer to a call for the changes since an index was applied although its own index was lower.

Change: such an answer is followed at once by a call for the whole list.

--- a/cmd/fawnplank/endpoint_grace_test.go
+++ b/cmd/fawnplank/endpoint_grace_test.go
@@ -284,3 +284,22 @@
 		t.Errorf("%d attempts at the draining backend after the list was applied", after-before)
 	}
 }
+
+// Guards against a list that is never replaced: a new process of the discovery service at the address of the one from
+// which the gateway has its list, with lower indexes, was taken for the former one.
+func TestEndpointLists_NewDiscoveryProcessIsNoticed(t *testing.T) {
+	t.Parallel()
+	pair := newBackendPair(t)
+	agent := newDiscoveryAgent(t, 0, pair.firstDraining) // the gateway's list has the index 1
+	pair.configure(t, agent.address())
+	startServing(t, pair.file)
+	pair.sendRequests(t)
+	pair.eventually(t, "attempts at the backend that is up", func() bool { return pair.active > 0 })
+	time.Sleep(3 * endpointGrace)
+	pair.mu.Lock()
+	lastAttempt := time.Since(pair.lastDrainingAttempt)
+	pair.mu.Unlock()
+	if lastAttempt < endpointGrace {
+		t.Errorf("an attempt at the draining backend %v ago", lastAttempt)
+	}
+}
--- a/internal/discovery/poll.go
+++ b/internal/discovery/poll.go
@@ -53,6 +53,11 @@
 	if err != nil {
 		return err
 	}
+	if !state.needsSnapshot && list.Index < c.index && !list.Snapshot {
+		// Another process answers at the service's address: its changes do not apply to the list of the former one.
+		state.needsSnapshot = true
+		return nil
+	}
 	state.needsSnapshot = false
 	c.index = list.Index
 	c.publisher.publish(list.updateKind(), list.Endpoints)
--- a/internal/discovery/watch_test.go
+++ b/internal/discovery/watch_test.go
@@ -128,3 +128,21 @@
 		t.Error("no further call within 4 s")
 	}
 }
+
+// Guards against a list that is never replaced: a new process of the discovery service, whose indexes begin anew, was
+// taken for the former one. It reported no changes since an index that it had not reached.
+func TestWatch_RequestsSnapshotFromNewProcess(t *testing.T) {
+	client, updates, calls := startClient(t,
+		list(4, true, entry("x", "up")), list(2, false), list(2, true, entry("y", "up")), list(3, false))
+	client.WatchEndpoints()
+	former := updates.next(t)
+	current := updates.next(t)
+	if current.kind != policy.FullSnapshot || len(current.endpoints) != 1 ||
+		current.endpoints[0].Backend == former.endpoints[0].Backend {
+		t.Errorf("%+v, want the new process's list", current)
+	}
+	if next := updates.next(t); next.kind != policy.Delta {
+		t.Errorf("%+v", next)
+	}
+	checkCalls(t, calls, snapshotURL, watchFrom4URL, snapshotURL, "/v1/endpoints?index=2&wait=2000")
+}
