frontend: the processes of an upgrade share the ids of requests that may have run

Cause: ids were known to their own process alone.

Change: internal/sharedids, a table of ids in a file that the processes of an address map into their memory; requests that are not safe to repeat claim their id there. Where the file cannot be opened, ids are not shared, and the log says so.

--- a/cmd/fawnplank/gateway.go
+++ b/cmd/fawnplank/gateway.go
@@ -14,6 +14,7 @@
 	"fawnplank/internal/dispatch"
 	"fawnplank/internal/frontend"
 	"fawnplank/internal/metrics"
+	"fawnplank/internal/sharedids"
 	"fawnplank/internal/tlsconfig"
 )
 
@@ -49,6 +50,7 @@
 	discovery    *discovery.Client
 	zone         *endpointZone
 	listener     net.Listener
+	sharedIDs    *sharedids.Table // nil if request ids are not shared
 	replica      *replica
 	accounts     *accounts
 	limitService *limitService
@@ -61,6 +63,7 @@
 	// closers stop the started parts and are stored in the order of the starts. Close calls them in reverse order:
 	//
 	//	zone.Close                  stops the name server, unless a shutdown has stopped it, and notifications of changes
+	//	sharedIDs.Close             removes the table of request ids, unless another process uses it
 	//	listener.Close              closes the clients' listener, unless a shutdown has closed it
 	//	warmStart.Close             saves the warm-start state, if the operator file names a file for it
 	//	discovery.Close, counter.Close, pool.Close, dispatcher.Stop
@@ -88,6 +91,7 @@
 		g.loadEndpoints,
 		g.startWarmStart,
 		g.listen,
+		g.openSharedIDs,
 		g.startZone,
 		g.startAccounts,
 		g.startLimits,
--- a/cmd/fawnplank/gateway_start.go
+++ b/cmd/fawnplank/gateway_start.go
@@ -10,7 +10,9 @@
 	"fawnplank/internal/discovery"
 	"fawnplank/internal/dispatch"
 	"fawnplank/internal/frontend"
+	"fawnplank/internal/logging"
 	"fawnplank/internal/metrics"
+	"fawnplank/internal/sharedids"
 )
 
 // startDispatcher constructs the clients of the backends, the counter and discovery, and starts the dispatcher, which
@@ -170,6 +172,24 @@
 	return nil
 }
 
+// openSharedIDs opens the table of request ids that this process shares with the other one of an upgrade. Without it
+// the gateway serves as it does beside no other process.
+func (g *gateway) openSharedIDs(context.Context) error {
+	ids := g.resourceLimits.maxUsedRequestIDs()
+	table, err := sharedids.Open(g.configuration.TemporaryFolder, g.listener.Addr().String(), ids)
+	if err != nil {
+		logging.For(frontendComponent).WithError(err).Warn("request ids not shared")
+		return nil
+	}
+	g.sharedIDs = table
+	g.addClosers(func() {
+		if err := table.Close(); err != nil {
+			logging.For(frontendComponent).WithError(err).Warn("table of request ids not removed")
+		}
+	})
+	return nil
+}
+
 // newServer constructs the server for clients. Run starts it.
 func (g *gateway) newServer() {
 	options := frontend.Options{
@@ -178,6 +198,7 @@
 		Config:         g.configuration,
 		MaxConnections: g.resourceLimits.maxClientConnections(),
 		MaxUsedIDs:     g.resourceLimits.maxUsedRequestIDs(),
+		SharedIDs:      g.sharedIDs,
 		Metrics:        g.metrics,
 		Budget:         g.resourceLimits.newCommandBudget(),
 	}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -32,6 +32,7 @@
 	Counter           string // host and port of the shared counter; empty if there is none
 	ManagementAddress string // host and port for management calls; empty if they are disabled
 	ListenerFD        int    // descriptor of a listener inherited from the parent process; -1 if there is none
+	TemporaryFolder   string // folder for files that need not outlast the machine
 
 	Seed             uint64 // seed of the random number generator
 	MemoryLimitBytes int64  // most memory that the process may use
@@ -80,10 +81,10 @@
 // ErrNoFile is the error that Read returns if neither the path nor GW_CONFIG names a configuration file.
 var ErrNoFile = errors.New("configuration: no file: neither a flag nor GW_CONFIG names one")
 
-// Read reads the configuration from the file at path, or from the file that GW_CONFIG names if path is empty,
-// and applies the overlay's rows to it. GW_NAME, GW_LISTEN, GW_DISCOVERY and GW_MGMT supply keys that are
-// missing in the file; GW_SOCKET_FD or SOCKET_FD gives the descriptor of an inherited listener. An error about a
-// key is a *SettingError.
+// Read reads the configuration from the file at path, or from the file that GW_CONFIG names if path is empty, and
+// applies the overlay's rows to it. GW_NAME, GW_LISTEN, GW_DISCOVERY and GW_MGMT supply keys that are missing in the
+// file; GW_SOCKET_FD or SOCKET_FD gives the descriptor of an inherited listener, and TMPDIR the folder for temporary
+// files. An error about a key is a *SettingError.
 func Read(path string, overlay Overlay) (*Config, error) {
 	if path == "" {
 		path = os.Getenv("GW_CONFIG")
@@ -103,6 +104,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("configuration %s: %w", path, err)
 	}
+	c.TemporaryFolder = os.TempDir()
 	c.ListenerFD, err = listenerFD(os.Getenv)
 	if err != nil {
 		return nil, fmt.Errorf("configuration: %w", err)
--- a/internal/frontend/request.go
+++ b/internal/frontend/request.go
@@ -73,11 +73,11 @@
 
 		idempotency: head.config.Settings.Classes[head.class].Idempotency,
 	}
-	if err := c.server.claimRequestID(p.id); err != nil {
+	if err := c.server.claimRequestID(p); err != nil {
 		return err
 	}
 	if !c.enqueue(p) {
-		c.server.releaseRequestID(p.id)
+		c.server.releaseRequestID(p)
 		return nil
 	}
 	c.detachFromBuffer(p)
--- a/internal/frontend/request_ids.go
+++ b/internal/frontend/request_ids.go
@@ -70,18 +70,34 @@
 	r.usedInOrder = r.usedInOrder[1:]
 }
 
-// claimRequestID registers the id of a request that is about to be submitted.
-func (s *Server) claimRequestID(id string) error {
+// claimRequestID registers the id of a request that is about to be submitted, and that of a request which is not safe
+// to repeat also at the other process of an upgrade. The longest deadline bounds the time until its end.
+func (s *Server) claimRequestID(p *pendingCommand) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.requestIDs.claim(id, time.Now())
+	if err := s.requestIDs.claim(p.id, time.Now()); err != nil {
+		return err
+	}
+	if p.idempotency != policy.Idempotent && !s.sharedIDs.Claim(p.id, 2*s.writeTimeout()) {
+		delete(s.requestIDs.open, p.id)
+		return errRequestIDUsed
+	}
+	return nil
 }
 
 // releaseRequestID removes the id of a request that was not submitted, so that the id can be used again.
-func (s *Server) releaseRequestID(id string) {
+func (s *Server) releaseRequestID(p *pendingCommand) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	delete(s.requestIDs.open, id)
+	s.release(p)
+}
+
+// release removes the id of a request that has not run. The caller holds mu.
+func (s *Server) release(p *pendingCommand) {
+	delete(s.requestIDs.open, p.id)
+	if p.idempotency != policy.Idempotent {
+		s.sharedIDs.Release(p.id)
+	}
 }
 
 // endRequestID removes the id of a request that has ended. If the request may have run, the id is retained for as long
@@ -90,10 +106,13 @@
 	retention := s.writeTimeout()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	delete(s.requestIDs.open, p.id)
-	if p.mayHaveRun() {
-		s.requestIDs.retain(p.id, time.Now().Add(retention))
+	if !p.mayHaveRun() {
+		s.release(p)
+		return
 	}
+	delete(s.requestIDs.open, p.id)
+	s.requestIDs.retain(p.id, time.Now().Add(retention))
+	s.sharedIDs.Retain(p.id, retention)
 }
 
 // mayHaveRun reports whether an attempt of the request was begun, a second run could have a second effect, and the
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -12,6 +12,7 @@
 	"fawnplank/internal/membudget"
 	"fawnplank/internal/metrics"
 	"fawnplank/internal/retryaccept"
+	"fawnplank/internal/sharedids"
 	"fawnplank/policy"
 )
 
@@ -31,6 +32,8 @@
 	MaxConnections int
 	// MaxUsedIDs limits the ids of ended requests that are kept so that no request runs twice. Zero keeps none.
 	MaxUsedIDs int
+	// SharedIDs holds ids beside those of this process, so that no request runs at two processes. Nil shares none.
+	SharedIDs *sharedids.Table
 	// Metrics counts received, open and answered requests. Nil disables counting.
 	Metrics *metrics.Registry
 	// Budget limits the memory of large commands; the budget for large responses is separate. Nil means no limit.
@@ -67,6 +70,7 @@
 	mu                      sync.Mutex
 	connections             map[*connection]struct{}
 	requestIDs              requestIDs
+	sharedIDs               *sharedids.Table
 	statsAtDrainStart       Stats      // the counts at the start of the drain
 	connectionCapacityFreed *sync.Cond // signals that a connection has ended or may have become idle
 }
@@ -84,6 +88,7 @@
 		evictionThreshold: evictionThreshold(options.Config.MaxSockets, options.MaxConnections),
 		connections:       map[*connection]struct{}{},
 		requestIDs:        newRequestIDs(options.MaxUsedIDs),
+		sharedIDs:         options.SharedIDs,
 		drain:             newDrainClock(),
 	}
 	s.connectionCapacityFreed = sync.NewCond(&s.mu)
