billing: the epochs of a deleted account are not given out again

Cause: an account that holds nothing is deleted with its highest epoch, and the next reservation began at epoch 1 again.

Change: compaction alone deletes such an account and raises the highest epoch of any deleted account in the same write, in the export's state. Reservations of an account without an epoch begin above it.

Result: TestService_EpochsOfDeletedAccountAreNotUsedAgain without the rule: "epoch 1 after 1", and the former holder's commit is accepted; passes now.

--- a/internal/billing/account.go
+++ b/internal/billing/account.go
@@ -18,7 +18,8 @@
 	// EndedReservations maps the id of each ended reservation to the time (unix ns) until which the id is
 	// retained.
 	EndedReservations map[string]int64 `json:"ended,omitempty"`
-	// Epoch is the highest epoch of any reservation so far. No two reservations share an epoch.
+	// Epoch is the highest epoch of any reservation so far. No two reservations share an epoch. Zero means that the
+	// account is new, or was empty: the epochs that it had then are the caller's to know.
 	Epoch uint64 `json:"epoch,omitempty"`
 }
 
@@ -83,6 +84,11 @@
 }
 
 // IsEmpty reports whether the account holds nothing that has to be stored.
-func (a Account) IsEmpty() bool {
+func (a Account) IsEmpty() bool { return a.Epoch == 0 && a.holdsNothing() }
+
+// HoldsOnlyEpoch reports whether nothing of the account has to be stored but its epoch.
+func (a Account) HoldsOnlyEpoch() bool { return a.Epoch > 0 && a.holdsNothing() }
+
+func (a Account) holdsNothing() bool {
 	return len(a.PlanChanges)+len(a.Windows)+len(a.Reservations)+len(a.EndedReservations) == 0
 }
--- a/internal/billingservice/compaction.go
+++ b/internal/billingservice/compaction.go
@@ -74,6 +74,10 @@
 
 // add adds the write of an account that was read at the given index, and the writes of its new records.
 func (w *compactionWrite) add(account billing.Account, index kv.Index, records []billing.UsageRecord) error {
+	if account.HoldsOnlyEpoch() {
+		w.state = w.state.deleteEpoch(account.Epoch)
+		account.Epoch = 0
+	}
 	edit, err := newAccountEdit(account, index)
 	if err != nil {
 		return err
@@ -104,7 +108,7 @@
 		nowNanos := s.options.Now().UnixNano()
 		afterExpiry := account.ExpireReservations(settings, nowNanos)
 		compacted, records := afterExpiry.CloseWindows(settings, nowNanos, write.state.NextSequence)
-		if haveEqualEncoding(account, compacted) {
+		if haveEqualEncoding(account, compacted) && !compacted.HoldsOnlyEpoch() {
 			continue
 		}
 		if !write.fits(len(records)) {
--- a/internal/billingservice/export_state.go
+++ b/internal/billingservice/export_state.go
@@ -22,6 +22,9 @@
 	// FirstSequence and LastSequence delimit the batch in flight, which is sent unchanged until it is acknowledged.
 	FirstSequence uint64 `json:"first,omitempty"`
 	LastSequence  uint64 `json:"last,omitempty"` // 0 if no batch is in flight
+	// MaxDeletedEpoch is the highest epoch of any account that was deleted. The epochs of a new account are above it, so
+	// that no holder of a former reservation has a valid epoch. It is part of this state since compaction writes both.
+	MaxDeletedEpoch uint64 `json:"epochs,omitempty"`
 }
 
 // isBatchInFlight reports whether a batch was started and is not acknowledged yet.
@@ -52,14 +55,24 @@
 
 // acknowledgeBatch returns the state after the receiver has acknowledged the batch in flight.
 func (e exportState) acknowledgeBatch() exportState {
-	return exportState{NextSequence: e.NextSequence, LastAcknowledged: e.LastSequence}
+	return exportState{
+		NextSequence:     e.NextSequence,
+		LastAcknowledged: e.LastSequence,
+		MaxDeletedEpoch:  e.MaxDeletedEpoch,
+	}
 }
 
 // resumeAfter returns a state without records to export. Its next sequence number follows both the given one and all
 // that this store has assigned.
 func (e exportState) resumeAfter(sequence uint64) exportState {
 	next := max(sequence+1, e.NextSequence)
-	return exportState{NextSequence: next, LastAcknowledged: next - 1}
+	return exportState{NextSequence: next, LastAcknowledged: next - 1, MaxDeletedEpoch: e.MaxDeletedEpoch}
+}
+
+// deleteEpoch returns the state after an account with the given epoch was deleted.
+func (e exportState) deleteEpoch(epoch uint64) exportState {
+	e.MaxDeletedEpoch = max(e.MaxDeletedEpoch, epoch)
+	return e
 }
 
 // edit returns an edit that writes the state if the stored state still has the given index.
--- a/internal/billingservice/operations.go
+++ b/internal/billingservice/operations.go
@@ -31,10 +31,25 @@
 	return s.updateReservation(tenant, func(
 		settings billing.Settings, nowNanos int64, a billing.Account,
 	) (billing.Account, billing.Reservation, error) {
+		if a.Epoch == 0 {
+			var err error
+			if a.Epoch, err = s.maxDeletedEpoch(); err != nil {
+				return a, billing.Reservation{}, err
+			}
+		}
 		return a.Reserve(settings, nowNanos, request)
 	})
 }
 
+// maxDeletedEpoch returns an epoch that no reservation of a deleted account has exceeded.
+func (s *Service) maxDeletedEpoch() (uint64, error) {
+	state, _, err := s.readExportState()
+	if err != nil {
+		return 0, fmt.Errorf("%w (%w)", ErrStore, err)
+	}
+	return state.MaxDeletedEpoch, nil
+}
+
 // Commit turns reserved units into usage. The epoch must be the reservation's current one. The returned reservation
 // has the epoch that the next operation on it must name.
 func (s *Service) Commit(tenant, id string, epoch uint64, units billing.MicroUnits) (billing.Reservation, error) {
--- a/internal/billingservice/reservations_test.go
+++ b/internal/billingservice/reservations_test.go
@@ -1,6 +1,7 @@
 package billingservice
 
 import (
+	"errors"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -104,3 +105,55 @@
 	}
 	return len(account.Reservations) > 0
 }
+
+// Guards against units that are both returned and spent: once an account was empty its epochs began anew, and a holder
+// whose lease was long over committed a later reservation of the same id.
+func TestService_EpochsOfDeletedAccountAreNotUsedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		replica := newMemoryReplica()
+		service := startService(replica, "e", nil)
+		defer service.Close()
+		for _, tenant := range []string{"g", "h"} {
+			former := reserveAs(t, service, tenant, "first")
+			awaitDeletion(t, replica, tenant)
+			current := reserveAs(t, service, tenant, "second")
+			if current.Epoch <= former.Epoch {
+				t.Errorf("epoch %d after %d", current.Epoch, former.Epoch)
+			}
+			if _, err := service.Commit(tenant, "nightly", former.Epoch, 10e6); !errors.Is(err, billing.ErrStaleEpoch) {
+				t.Errorf("commit by the former holder: %v", err)
+			}
+			if _, err := service.Commit(tenant, "nightly", current.Epoch, 10e6); err != nil {
+				t.Errorf("commit by the holder: %v", err)
+			}
+		}
+	})
+}
+
+// reserveAs makes the reservation "nightly" of ten units for a holder.
+func reserveAs(t *testing.T, service *Service, tenant, holder string) billing.Reservation {
+	t.Helper()
+	reservation, err := service.Reserve(tenant, billing.ReservationRequest{
+		ID:         "nightly",
+		Holder:     holder,
+		Plan:       "small",
+		MicroUnits: 10e6,
+		LeaseNanos: int64(300 * time.Millisecond),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return reservation
+}
+
+// awaitDeletion waits until a tenant's account, which holds nothing, is deleted.
+func awaitDeletion(t *testing.T, replica *memoryReplica, tenant string) {
+	t.Helper()
+	const longestRetention = 24 * time.Hour
+	for start := time.Now(); time.Since(start) < longestRetention; time.Sleep(CompactionInterval) {
+		if _, found := replica.ReadLocal(accountPrefix + tenant); !found {
+			return
+		}
+	}
+	t.Fatal("an account that holds nothing is not deleted")
+}
