dnsserver: stored changes are compacted, and replaced, however many they are

Change: compaction is also tried once the replica has applied a change. Deletions beyond a command follow in commands of their own.

--- a/internal/dnsserver/commit.go
+++ b/internal/dnsserver/commit.go
@@ -57,7 +57,7 @@
 	}
 	err := s.options.ReplicatedStore.replace(s.zone, s.zone, s.fileSum)
 	if errors.Is(err, errReplicaBehind) {
-		return nil // another replica has compacted the changes, or the next change triggers compaction again
+		return nil // another replica has compacted the changes, or HandleStoreChange does once this one has them all
 	}
 	return err
 }
--- a/internal/dnsserver/replicated_snapshot.go
+++ b/internal/dnsserver/replicated_snapshot.go
@@ -2,9 +2,11 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"unicode/utf8"
 
 	"fawnplank/internal/dnszone"
+	"fawnplank/internal/logging"
 	"fawnplank/internal/store/kv"
 )
 
@@ -13,7 +15,8 @@
 const maxChunkBytes = kv.MaxValueBytes / 2
 
 // writeSnapshot writes a snapshot, and deletes the chunks and changes of the old head. The write fails with
-// errReplicaBehind unless the head in the store still has the given index.
+// errReplicaBehind unless the head in the store still has the given index. Changes that are too many for the write are
+// deleted after it: no head refers to them any more.
 func (r *ReplicatedZone) writeSnapshot(
 	zone *dnszone.Zone, fileSum string, oldHead storeHead, index kv.Index,
 ) error {
@@ -43,7 +46,35 @@
 		}
 		edits = append(edits, kv.Edit{Key: chunkKey(newHead.SnapshotSerial, number), Value: chunk})
 	}
-	return r.write(newHead, index, edits)
+	edits, tooMany := splitDeletions(edits, oldHead.Chunks)
+	if err := r.write(newHead, index, edits); err != nil {
+		return err
+	}
+	r.deleteInBatches(tooMany)
+	return nil
+}
+
+// splitDeletions splits the edits of a snapshot so that the first part and the head's edit fit into one command. edits
+// begins with those of the old chunks, and continues with the deletions of changes; the edits of new chunks come last.
+// Only deletions of changes are split off.
+func splitDeletions(edits []kv.Edit, oldChunks int) (fitting, tooMany []kv.Edit) {
+	excess := len(edits) + 1 - kv.MaxEdits
+	if excess <= 0 {
+		return edits, nil
+	}
+	end := min(oldChunks+excess, len(edits))
+	return slices.Concat(edits[:oldChunks], edits[end:]), edits[oldChunks:end]
+}
+
+// deleteInBatches deletes keys to which no head refers. If that fails, they are left, which has no consequence but the
+// space that they take.
+func (r *ReplicatedZone) deleteInBatches(deletions []kv.Edit) {
+	for batch := range slices.Chunk(deletions, kv.MaxEdits) {
+		if err := r.Edit(batch); err != nil {
+			logging.For(component).WithError(err).WithField("changes", len(deletions)).Warn("old changes not deleted")
+			return
+		}
+	}
 }
 
 // deletionEdits returns the edits that delete a head's chunks, which come first and in order, followed by the
--- a/internal/dnsserver/replicated_zone.go
+++ b/internal/dnsserver/replicated_zone.go
@@ -46,7 +46,7 @@
 var errReplicaBehind = errors.New("this replica has yet to apply a committed change")
 
 // maxStoredChanges is the number of stored changes at which they are compacted into a snapshot. The deletion of all of
-// them must fit into one command.
+// them usually fits into one command.
 const maxStoredChanges = 500
 
 // storeHead is the stored form of the head.
--- a/internal/dnsserver/replicated_zone_test.go
+++ b/internal/dnsserver/replicated_zone_test.go
@@ -3,12 +3,14 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/miekg/dns"
 
+	"fawnplank/internal/dnszone"
 	"fawnplank/internal/store/kv"
 	"fawnplank/internal/testutil"
 )
@@ -238,3 +240,98 @@
 		t.Error(err)
 	}
 }
+
+// startReplica starts one server with the only replica of a store that has a name server.
+func startReplica(t *testing.T) (*testServer, *fakeReplica) {
+	t.Helper()
+	replica := newFakeReplica(&fakeStore{})
+	replica.run(t)
+	options := newOptions(t, zoneFileText(7, 2))
+	options.ReplicatedStore = &ReplicatedZone{replica}
+	s := mustStart(t, options)
+	replica.setOnApplied(func() { go s.HandleStoreChange() })
+	testutil.Eventually(t, "the first published list", func() bool { return s.Address() != "" && s.published.size() == 2 })
+	return s, replica
+}
+
+// sendUpdates sends updates of one name each.
+func (s *testServer) sendUpdates(t *testing.T, count int) {
+	t.Helper()
+	for n := range count {
+		rcode := s.sendUpdate(t, "tcp", fmt.Sprintf("x%d.calc.example. A 127.7.7.7", n))
+		if rcode != dns.RcodeSuccess {
+			t.Fatal(n, dns.RcodeToString[rcode])
+		}
+	}
+}
+
+// Guards against a zone file that is never adopted, so that a backend which it withdraws goes on getting requests:
+// where one gateway has the zone and its replica does not lead, the stored changes were never compacted.
+func TestServer_CompactsChangesWithOneNameServer(t *testing.T) {
+	s, replica := startReplica(t)
+	s.sendUpdates(t, maxStoredChanges+20)
+	testutil.Eventually(t, "the changes are compacted", func() bool {
+		head, _, err := (&ReplicatedZone{replica}).readHead()
+		return err == nil && head.SnapshotSerial > 7 && head.Changes <= 20
+	})
+}
+
+// parseZone parses the zone file text of a serial with a number of backends.
+func parseZone(t *testing.T, serial uint32, count int) *dnszone.Zone {
+	t.Helper()
+	zone, err := dnszone.Parse("zone", []byte(zoneFileText(serial, count)), testSettings)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return zone
+}
+
+// Guards against a zone file that is never adopted: changes that are more than one command can delete could not be
+// replaced any more.
+func TestReplicatedZone_ReplacesMoreChangesThanOneCommandDeletes(t *testing.T) {
+	const (
+		first   = 7
+		last    = first + 2*kv.MaxEdits + 100
+		newFile = 9000
+	)
+	replica := newFakeReplica(&fakeStore{})
+	stored := &ReplicatedZone{replica}
+	if err := stored.initialize(parseZone(t, first, 2), "sum"); err != nil {
+		t.Fatal(err)
+	}
+	// The head and the changes, as the updates that led to the last serial have left them.
+	replica.catchUp()
+	head, index, err := stored.readHead()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var edits []kv.Edit
+	for serial := uint32(first); serial < last; serial++ {
+		value := fmt.Sprintf(`{"from":%d,"to":%d}`, serial, serial+1)
+		edits = append(edits, kv.Edit{Key: changeKey(serial), Value: []byte(value)})
+	}
+	for batch := range slices.Chunk(edits, kv.MaxEdits) {
+		if err := replica.Edit(batch); err != nil {
+			t.Fatal(err)
+		}
+	}
+	head.Serial, head.Changes = last, last-first
+	if err := stored.write(head, index, nil); err != nil {
+		t.Fatal(err)
+	}
+	replica.catchUp()
+
+	if err := stored.replace(parseZone(t, last, 2), parseZone(t, newFile, 1), "new sum"); err != nil {
+		t.Fatalf("a newer zone file is not stored: %v", err)
+	}
+	replica.catchUp()
+	if head, _, err := stored.readHead(); err != nil || head.Serial != newFile || head.Changes != 0 {
+		t.Errorf("head %+v, %v", head, err)
+	}
+	if loaded, err := stored.load(testSettings); err != nil || loaded.zone.Serial() != newFile {
+		t.Errorf("the stored zone cannot be read: %v", err)
+	}
+	if left := replica.state.Keys(changeKeyPrefix); len(left) > 0 {
+		t.Errorf("%d old changes are left", len(left))
+	}
+}
--- a/internal/dnsserver/replication.go
+++ b/internal/dnsserver/replication.go
@@ -17,7 +17,8 @@
 	replicateRetryInterval = 5 * time.Millisecond
 )
 
-// HandleStoreChange brings the current zone up to date with the store. It must be called after a key with KeyPrefix has
+// HandleStoreChange brings the current zone up to date with the store, and compacts the stored changes if they are
+// many: right after an update this replica does not have it yet. It must be called after a key with KeyPrefix has
 // changed in the store, and may block until an update in progress is done.
 func (s *Server) HandleStoreChange() {
 	s.mu.Lock()
@@ -27,6 +28,10 @@
 	}
 	if err := s.catchUp(); err != nil && !errors.Is(err, errReplicaBehind) {
 		logging.For(component).WithError(err).Error("zone in store not readable")
+		return
+	}
+	if err := s.compactReplicated(); err != nil {
+		logging.For(component).WithError(err).Error("changes not compacted")
 	}
 }
 
