zone: SIGTERM does not wait for a reload of the zone file

Cause: the zone file was read and stored on the goroutine that handles signals.

Change: the name server reloads on a goroutine of its own; reloads that come meanwhile are one.

--- a/cmd/fawnplank/zone.go
+++ b/cmd/fawnplank/zone.go
@@ -20,11 +20,12 @@
 	settings  config.DNS
 	server    atomic.Pointer[dnsserver.Server] // nil before Start, and if there is no zone
 	changes   *notifier                        // notified after the zone's keys have changed in the store
+	reloads   *notifier                        // notified when the zone file is to be read again
 	closeOnce sync.Once
 }
 
 func newEndpointZone(settings config.DNS) *endpointZone {
-	return &endpointZone{settings: settings, changes: newNotifier()}
+	return &endpointZone{settings: settings, changes: newNotifier(), reloads: newNotifier()}
 }
 
 // Enabled reports whether the endpoint list comes from a DNS zone.
@@ -46,6 +47,7 @@
 		return err
 	}
 	z.server.Store(server)
+	z.reloads.Start(server.Reload)
 	metrics.AddGauges(registry, server, zoneGauges)
 	if replica != nil {
 		z.changes.Start(server.HandleStoreChange)
@@ -64,21 +66,19 @@
 	}
 }
 
-// Reload reads the zone file again.
-func (z *endpointZone) Reload() {
-	if server := z.server.Load(); server != nil {
-		server.Reload()
-	}
-}
+// Reload makes the name server read the zone file again. It does not block: the server may wait for the disk, and for
+// the store's leader if the file is newer, and signals are handled meanwhile.
+func (z *endpointZone) Reload() { z.reloads.Notify() }
 
 // CloseServer stops the name server, so that another process may use the journal. Changes in the store still update the
 // endpoint list afterwards. It may be called more than once; each call returns after the server has stopped.
 func (z *endpointZone) CloseServer() { z.closeOnce.Do(func() { z.server.Load().Close() }) }
 
-// Close stops the name server and the handler of changes in the store. It is called once, before the replica is closed,
-// because the handler reads the replica.
+// Close stops the name server, and the handlers of reloads and of changes in the store. It is called once, before the
+// replica is closed, because the handlers use the replica. It waits for a reload that is running.
 func (z *endpointZone) Close() {
 	z.CloseServer()
+	z.reloads.Close()
 	z.changes.Close()
 }
 
--- a/cmd/fawnplank/zone_test.go
+++ b/cmd/fawnplank/zone_test.go
@@ -1,10 +1,13 @@
 package main
 
 import (
+	"bufio"
 	"encoding/base64"
 	"errors"
 	"fmt"
+	"io"
 	"math/rand/v2"
+	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -374,3 +377,35 @@
 		t.Error("the gateway did not exit after SIGTERM")
 	}
 }
+
+// Guards against requests that are lost at a planned restart: SIGTERM was not acted on while a reload waited, for the
+// disk that holds the zone file or for the store's leader.
+func TestZone_TerminationDoesNotWaitForReload(t *testing.T) {
+	z := newZoneFiles(t, false)
+	address := freeAddress(t)
+	writeFile(t, z.settings, fmt.Sprintf(configuration, address, freeAddress(t), freeAddress(t)))
+	process := z.startServe(t)
+	var conn net.Conn
+	testutil.Eventually(t, "the gateway listens", func() bool {
+		var err error
+		conn, err = tryDial(t, address)
+		return err == nil
+	})
+	t.Cleanup(func() { closeIgnoringError(conn) })
+	setDeadline(conn, connectionTimeout)
+	reader := bufio.NewReader(conn)
+	send(conn, "*1\r\n$4\r\nPING\r\n")
+	if line, err := reader.ReadString('\n'); line != "+PONG\r\n" || err != nil {
+		t.Fatalf("%q, %v", line, err)
+	}
+	if err := errors.Join(os.Remove(z.path("zone")), syscall.Mkfifo(z.path("zone"), 0o600)); err != nil {
+		t.Fatal(err)
+	}
+	sendSignal(t, process, syscall.SIGHUP)
+	time.Sleep(200 * time.Millisecond) // the reload waits for a writer of the zone file
+	sendSignal(t, process, syscall.SIGTERM)
+	if _, err := reader.ReadByte(); !errors.Is(err, io.EOF) {
+		t.Errorf("after SIGTERM: %v, want the end of the connection", err)
+	}
+	writeFile(t, z.path("zone"), "no zone") // ends the reload
+}
