--- a/internal/testutil/network.go
+++ b/internal/testutil/network.go
@@ -1,7 +1,9 @@
 package testutil
 
 import (
+	"errors"
 	"net"
+	"syscall"
 	"testing"
 	"time"
 
@@ -25,7 +27,11 @@
 // Listen opens a TCP listener on a free loopback port and closes it when the test ends.
 func Listen(tb testing.TB) net.Listener {
 	tb.Helper()
-	var config net.ListenConfig
+	return listenWith(tb, net.ListenConfig{})
+}
+
+func listenWith(tb testing.TB, config net.ListenConfig) net.Listener {
+	tb.Helper()
 	listener, err := config.Listen(tb.Context(), "tcp4", "127.0.0.1:0")
 	if err != nil {
 		tb.Fatal(err)
@@ -36,6 +42,20 @@
 	return listener
 }
 
+// ListenWithReceiveBuffer is Listen for connections whose receive buffers have about the given size, so that what the
+// other side writes arrives as slowly as it is read.
+func ListenWithReceiveBuffer(tb testing.TB, bytes int) net.Listener {
+	tb.Helper()
+	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+		var optionErr error
+		err := raw.Control(func(fd uintptr) {
+			optionErr = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, bytes)
+		})
+		return errors.Join(err, optionErr)
+	}}
+	return listenWith(tb, config)
+}
+
 // FreeAddress returns a loopback address with a free port. In rare cases another process takes the port before
 // the program under test listens on it.
 func FreeAddress(tb testing.TB) string {
