--- a/cmd/fawnplank/process_test.go
+++ b/cmd/fawnplank/process_test.go
@@ -18,13 +18,28 @@
 	"time"
 )
 
-// TestMain runs the program itself instead of the tests when a test starts its own binary as the program.
+// TestMain runs the program itself instead of the tests when a test starts its own binary as the program. The tests
+// have a folder of their own for temporary files, since processes that they kill leave some.
 func TestMain(m *testing.M) {
 	if os.Getenv("FAWNPLANK_AS_MAIN") != "" {
 		main()
 		return
 	}
-	os.Exit(m.Run())
+	os.Exit(runInTemporaryFolder(m))
+}
+
+func runInTemporaryFolder(m *testing.M) int {
+	folder, err := os.MkdirTemp("", "fawnplank-test-")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer func() { _ = os.RemoveAll(folder) }() // what is left has no consequence
+	if err := os.Setenv("TMPDIR", folder); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	return m.Run()
 }
 
 // programCommand returns the program with arguments, not yet started. It is killed at the end of the test.
